The thin whole path: from a published contract to an endpoint's whole answer

Cause: the repository was empty. Change: one program with the verbs serve, check, publish, mark, status, log, resolve, hash and version; pure core packages for ledger, rules, tickets, keys, attempts, membership, crews, shares, buckets, endpoints, queue, dispatch and budgets; adapters for callers, endpoints, peers, operators and the platform; a stand-in program for the log, the instance list, the endpoints and the callers; both deployments as examples.

--- /dev/null
+++ b/cmd/mangotack/main.go
@@ -0,0 +1,12 @@
+// Command mangotack runs an entry instance and the operators' verbs.
+package main
+
+import (
+	"os"
+
+	"github.com/mangotack/mangotack/internal/verb/mtverb"
+)
+
+func main() {
+	os.Exit(mtverb.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/adapter/mtauth/doc.go
@@ -0,0 +1,2 @@
+// Package mtauth checks the bearer tokens of requests.
+package mtauth
--- /dev/null
+++ b/internal/adapter/mtcontrol/doc.go
@@ -0,0 +1,2 @@
+// Package mtcontrol serves operators and the owners of services.
+package mtcontrol
--- /dev/null
+++ b/internal/adapter/mtdocument/doc.go
@@ -0,0 +1,2 @@
+// Package mtdocument reads the JSON documents of operators: settings, bundles of records and settings of the stand-in.
+package mtdocument
--- /dev/null
+++ b/internal/adapter/mtevent/doc.go
@@ -0,0 +1,2 @@
+// Package mtevent holds the numbered events that the programs log.
+package mtevent
--- /dev/null
+++ b/internal/adapter/mtgossip/members.go
@@ -0,0 +1,244 @@
+// Lock order: Members.mu is a leaf; no other lock is taken while it is held.
+
+package mtgossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtauth"
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
+	"github.com/mangotack/mangotack/internal/core/mtmember"
+	"github.com/mangotack/mangotack/internal/core/mtticket"
+	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
+	recordv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/record/v1"
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
+)
+
+const (
+	// rowLimit bounds the rows of one message.
+	rowLimit = 16
+	// exchangeTimeout bounds one round with one peer.
+	exchangeTimeout = 800 * time.Millisecond
+)
+
+var (
+	namespace = errorx.NewNamespace("gossip")
+	// Gone is the type of the error for a home that is no longer there.
+	Gone = namespace.NewType("gone")
+)
+
+// State is what peers relay to each other.
+type State interface {
+	Applied() uint64
+	Since(offset uint64) *recordv1.Snapshot
+	Merge(snapshot *recordv1.Snapshot)
+	Refresh(now time.Time)
+	IsReady() bool
+}
+
+// Members keeps the view of all entry instances current; it is safe for use by many goroutines.
+type Members struct {
+	mu     sync.Mutex
+	view   *mtmember.View
+	random *rand.Rand
+	seeds  []string
+	secret string
+	state  State
+	client *http.Client
+	logger *logrus.Logger
+}
+
+// NewMembers returns the members as an instance sees them that knows only itself and its seeds.
+func NewMembers(view *mtmember.View, state State, seeds []string, secret string, logger *logrus.Logger) *Members {
+	return &Members{
+		view:   view,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		seeds:  seeds,
+		secret: secret,
+		state:  state,
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 2,
+			},
+		},
+		logger: logger,
+	}
+}
+
+// SetSeeds replaces the control addresses at which unknown instances may be found.
+func (m *Members) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
+// Fill changes the own row.
+func (m *Members) Fill(change func(self *peerv1.Row)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(m.view.Self())
+}
+
+// Live returns the rows of the instances in one of the states, itself included.
+func (m *Members) Live(now time.Time, states ...string) []*peerv1.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return cloned(m.view.Live(now, states...))
+}
+
+// Known returns the rows of all instances that are not forgotten.
+func (m *Members) Known() []*peerv1.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return cloned(m.view.Known())
+}
+
+// State returns the state of an instance and for how long it has been silent.
+func (m *Members) State(instance string, now time.Time) (string, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.State(instance, now)
+}
+
+func cloned(rows []*peerv1.Row) []*peerv1.Row {
+	result := make([]*peerv1.Row, len(rows))
+	for i, row := range rows {
+		result[i] = proto.CloneOf(row)
+	}
+	return result
+}
+
+// Round exchanges rows with a few peers.
+func (m *Members) Round(ctx context.Context, now time.Time) {
+	partners := m.tick(now)
+	var group sync.WaitGroup
+	for _, address := range partners {
+		group.Go(func() {
+			m.exchange(ctx, address)
+		})
+	}
+	group.Wait()
+}
+
+func (m *Members) tick(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if missed := m.view.Tick(now); missed > 0 {
+		mtevent.ObserverPaused.Log(m.logger, logrus.Fields{
+			"missed": missed.String(),
+		})
+	}
+	partners := m.view.Partners(now, m.random)
+	if len(m.seeds) > 0 && (len(partners) < 2 || m.random.IntN(8) == 0) {
+		partners = append(partners, m.seeds[m.random.IntN(len(m.seeds))])
+	}
+	return partners
+}
+
+func (m *Members) exchange(ctx context.Context, address string) {
+	limited, cancel := context.WithTimeout(m.authorized(ctx), exchangeTimeout)
+	defer cancel()
+	answer, err := m.peer(address).Exchange(limited, m.rows())
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	m.merge(answer.GetRows(), now)
+	m.catchUp(ctx, address, answer.GetRows(), now)
+}
+
+// catchUp takes from a peer what it has applied beyond this instance, and counts the contact as a sign of freshness.
+func (m *Members) catchUp(ctx context.Context, address string, rows []*peerv1.Row, now time.Time) {
+	if len(rows) == 0 || !rows[0].GetReady() {
+		return
+	}
+	applied := m.state.Applied()
+	if m.state.IsReady() && rows[0].GetApplied() <= applied {
+		m.state.Refresh(now)
+		return
+	}
+	limited, cancel := context.WithTimeout(m.authorized(ctx), exchangeTimeout)
+	defer cancel()
+	answer, err := m.peer(address).Catchup(limited, &peerv1.CatchupRequest{
+		Applied: applied,
+	})
+	if err != nil {
+		return
+	}
+	m.state.Merge(answer.GetSnapshot())
+	m.state.Refresh(now)
+	mtevent.CaughtUp.Log(m.logger, logrus.Fields{
+		"peer":    rows[0].GetInstance(),
+		"applied": answer.GetSnapshot().GetThrough(),
+	})
+}
+
+func (m *Members) rows() *peerv1.Gossip {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &peerv1.Gossip{
+		Rows: cloned(m.view.Rows(rowLimit)),
+	}
+}
+
+func (m *Members) merge(rows []*peerv1.Row, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range m.view.Merge(rows, now) {
+		mtevent.MemberJoined.Log(m.logger, logrus.Fields{
+			"member": name,
+		})
+	}
+}
+
+func (m *Members) peer(address string) peerv1.PeerService {
+	return peerv1.NewPeerServiceProtobufClient("http://"+address, m.client)
+}
+
+func (m *Members) authorized(ctx context.Context) context.Context {
+	header := http.Header{}
+	mtauth.SetBearer(header, m.secret)
+	// The names set here are none of those that twirp reserves, which is the only error.
+	authorized, _ := twirp.WithHTTPRequestHeaders(ctx, header)
+	return authorized
+}
+
+// Settle asks the home of a ticket what became of a key.
+func (m *Members) Settle(ctx context.Context, ticket mtticket.Ticket, team, key string) (mtoutcome.Outcome, error) {
+	address := m.home(ticket)
+	if address == "" {
+		return mtoutcome.Unknown, Gone.New("no instance %s of that incarnation is known", ticket.Instance)
+	}
+	answer, err := m.peer(address).Settle(m.authorized(ctx), &peerv1.SettleRequest{
+		Team: team,
+		Key:  key,
+	})
+	if err != nil {
+		return mtoutcome.Unknown, Gone.Wrap(err, "instance %s did not answer", ticket.Instance)
+	}
+	return mtoutcome.Outcome(answer.GetOutcome()), nil
+}
+
+func (m *Members) home(ticket mtticket.Ticket) string {
+	for _, row := range m.Known() {
+		if row.GetInstance() == ticket.Instance && row.GetIncarnation() == ticket.Incarnation {
+			return row.GetControl()
+		}
+	}
+	return ""
+}
+
+// Receive takes in the rows of a peer's round and returns rows for the peer.
+func (m *Members) Receive(rows []*peerv1.Row, now time.Time) *peerv1.Gossip {
+	m.merge(rows, now)
+	return m.rows()
+}
--- /dev/null
+++ b/internal/adapter/mtguard/guard.go
@@ -0,0 +1,115 @@
+// Only the home of a key's ticket dispatches it. Any other instance asks the home, which closes a key that it has not
+// seen, so the answer "not run" stays true. A home that can't be asked leaves the outcome unknown.
+
+package mtguard
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/mangotack/mangotack/internal/core/mtcall"
+	"github.com/mangotack/mangotack/internal/core/mtonce"
+	"github.com/mangotack/mangotack/internal/core/mtrefusal"
+	"github.com/mangotack/mangotack/internal/core/mtticket"
+	"github.com/mangotack/mangotack/internal/node/mtkeys"
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
+)
+
+const (
+	fullRetry    = time.Second
+	runningRetry = time.Second
+	// settleTimeout bounds the question to the home of a key.
+	settleTimeout = 2 * time.Second
+)
+
+// Homes asks the home of a ticket what became of a key.
+type Homes interface {
+	Settle(ctx context.Context, ticket mtticket.Ticket, team, key string) (mtoutcome.Outcome, error)
+}
+
+// Guard lets each key through once; it is safe for use by many goroutines.
+type Guard struct {
+	keys  *mtkeys.Keys
+	homes Homes
+}
+
+// NewGuard returns a guard over the keys of this incarnation.
+func NewGuard(keys *mtkeys.Keys, homes Homes) *Guard {
+	return &Guard{
+		keys:  keys,
+		homes: homes,
+	}
+}
+
+// Begin takes the call's key for dispatch; End must follow. The error is a refusal.
+func (g *Guard) Begin(ctx context.Context, call *mtcall.Call, body []byte, now time.Time) error {
+	ticket, found, err := mtticket.Parse(call.Key)
+	if err != nil {
+		return mtrefusal.NotRun(mtrefusal.BadCall, "header %s: %s", mtcall.KeyHeader, errorx.Cast(err).Message())
+	}
+	if !found {
+		return mtrefusal.NotRun(mtrefusal.BadCall, "header %s: found a key without a ticket, expected a ticket of Resolve, a hyphen and a suffix", mtcall.KeyHeader)
+	}
+	if !g.keys.IsHome(ticket) {
+		return g.ask(ctx, call, ticket)
+	}
+	outcome, err := g.keys.Begin(call.Tenant(), call.Key, digest(call, body), ticket, now)
+	if err != nil {
+		return refusalOf(outcome, err)
+	}
+	return nil
+}
+
+// digest covers what decides the effect of a call: the service, the method and the body.
+func digest(call *mtcall.Call, body []byte) [sha256.Size]byte {
+	hash := sha256.New()
+	hash.Write([]byte(call.Service.GetName() + "/" + call.Method + "\x00"))
+	hash.Write(body)
+	return [sha256.Size]byte(hash.Sum(nil))
+}
+
+func (g *Guard) ask(ctx context.Context, call *mtcall.Call, ticket mtticket.Ticket) error {
+	limited, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	outcome, err := g.homes.Settle(limited, ticket, call.Tenant(), call.Key)
+	if err != nil {
+		return mtrefusal.Unknown(mtrefusal.Home, "entry instance %s, which the key's ticket names, can't be asked", ticket.Instance)
+	}
+	return &mtrefusal.Refusal{
+		Reason:  mtrefusal.Home,
+		Outcome: outcome,
+		Message: "the key belongs to entry instance " + ticket.Instance + ", which was asked for its outcome",
+	}
+}
+
+// End records the outcome of a key that Begin took.
+func (g *Guard) End(call *mtcall.Call, outcome mtoutcome.Outcome) {
+	g.keys.End(call.Tenant(), call.Key, outcome)
+}
+
+func refusalOf(outcome mtoutcome.Outcome, err error) *mtrefusal.Refusal {
+	refusal := &mtrefusal.Refusal{
+		Outcome: outcome,
+		Message: errorx.Cast(err).Message(),
+	}
+	switch {
+	case errorx.IsOfType(err, mtonce.Full):
+		refusal.Reason = mtrefusal.Full
+		refusal.Retry = fullRetry
+	case errorx.IsOfType(err, mtonce.Mismatch):
+		refusal.Reason = mtrefusal.Mismatch
+	case errorx.IsOfType(err, mtonce.Expired):
+		refusal.Reason = mtrefusal.Expired
+	case errorx.IsOfType(err, mtonce.Foreign):
+		refusal.Reason = mtrefusal.BadCall
+	default:
+		refusal.Reason = mtrefusal.Repeated
+		if outcome == mtoutcome.Unknown {
+			refusal.Retry = runningRetry
+		}
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/adapter/mtlist/doc.go
@@ -0,0 +1,2 @@
+// Package mtlist reads the platform's instance list.
+package mtlist
--- /dev/null
+++ b/internal/adapter/mtlist/list.go
@@ -0,0 +1,75 @@
+package mtlist
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
+	platformv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1"
+	"github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1/platformv1connect"
+)
+
+const listTimeout = 3 * time.Second
+
+// List is the last instance list that was read; it is safe for use by many goroutines.
+type List struct {
+	client platformv1connect.InstanceListServiceClient
+	logger *logrus.Logger
+	mu     sync.Mutex
+	lines  []*platformv1.Instance
+	lost   bool
+}
+
+// NewList returns an empty list that reads from an IP number and port.
+func NewList(address string, logger *logrus.Logger) *List {
+	return &List{
+		client: platformv1connect.NewInstanceListServiceClient(&http.Client{}, "http://"+address),
+		logger: logger,
+	}
+}
+
+// Refresh reads the list; when that fails, the last one stays.
+func (l *List) Refresh(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	answer, err := l.client.List(limited, connect.NewRequest(&platformv1.ListRequest{}))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.reportLost(ctx, err)
+		return
+	}
+	if l.lost {
+		l.lost = false
+		mtevent.ListBack.Log(l.logger, logrus.Fields{})
+	}
+	l.lines = answer.Msg.GetInstances()
+}
+
+func (l *List) reportLost(ctx context.Context, err error) {
+	if l.lost || ctx.Err() != nil {
+		return
+	}
+	l.lost = true
+	mtevent.ListLost.Log(l.logger, logrus.Fields{
+		"error": err.Error(),
+	})
+}
+
+// Of returns the lines of one service.
+func (l *List) Of(service string) []*platformv1.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lines []*platformv1.Instance
+	for _, line := range l.lines {
+		if line.GetService() == service {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/adapter/mtmeter/doc.go
@@ -0,0 +1,2 @@
+// Package mtmeter holds the metrics of an entry instance.
+package mtmeter
--- /dev/null
+++ b/internal/adapter/mtpeer/doc.go
@@ -0,0 +1,2 @@
+// Package mtpeer serves the questions of other entry instances.
+package mtpeer
--- /dev/null
+++ b/internal/adapter/mtpool/doc.go
@@ -0,0 +1,2 @@
+// Package mtpool keeps the connections to endpoints.
+package mtpool
--- /dev/null
+++ b/internal/adapter/mtreader/doc.go
@@ -0,0 +1,2 @@
+// Package mtreader reads a call from an HTTP request.
+package mtreader
--- /dev/null
+++ b/internal/adapter/mtresolver/doc.go
@@ -0,0 +1,2 @@
+// Package mtresolver tells callers which entry instances to use.
+package mtresolver
--- /dev/null
+++ b/internal/adapter/mtwriter/doc.go
@@ -0,0 +1,2 @@
+// Package mtwriter writes answers and refusals to callers.
+package mtwriter
--- /dev/null
+++ b/internal/core/mtbucket/bucket.go
@@ -0,0 +1,81 @@
+package mtbucket
+
+import "time"
+
+// burstWindow is the time whose calls may come at once.
+const burstWindow = 200 * time.Millisecond
+
+// Bucket admits calls at a part of a rate and up to a part of a concurrency.
+type Bucket struct {
+	rate        float64
+	concurrency float64
+	tokens      float64
+	filled      time.Time
+	inflight    int
+	arrived     float64
+	demand      float64
+}
+
+// Limit sets the rate in calls per second and the concurrency in calls; 0 sets no bound.
+func (b *Bucket) Limit(rate, concurrency float64, now time.Time) {
+	b.fill(now)
+	b.rate = rate
+	b.concurrency = concurrency
+	b.tokens = min(b.tokens, b.size())
+}
+
+func (b *Bucket) size() float64 {
+	return max(1, b.rate*burstWindow.Seconds())
+}
+
+func (b *Bucket) fill(now time.Time) {
+	if b.filled.IsZero() {
+		b.tokens = 1
+	} else if elapsed := now.Sub(b.filled); elapsed > 0 {
+		b.tokens = min(b.size(), b.tokens+b.rate*elapsed.Seconds())
+	}
+	b.filled = now
+}
+
+// Take admits one call, or returns how long to wait before the next try.
+func (b *Bucket) Take(now time.Time) (wait time.Duration, admitted bool) {
+	b.fill(now)
+	b.arrived++
+	if b.concurrency > 0 && float64(b.inflight) >= max(1, b.concurrency) {
+		return burstWindow, false
+	}
+	if b.rate > 0 {
+		if b.tokens < 1 {
+			return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
+		}
+		b.tokens--
+	}
+	b.inflight++
+	return 0, true
+}
+
+// Undo takes back a call that another bucket refused.
+func (b *Bucket) Undo() {
+	b.inflight--
+	if b.rate > 0 {
+		b.tokens++
+	}
+}
+
+// Release ends an admitted call.
+func (b *Bucket) Release() {
+	b.inflight--
+}
+
+// IsIdle reports whether no admitted call is in flight.
+func (b *Bucket) IsIdle() bool {
+	return b.inflight == 0
+}
+
+// Demand returns the calls per second that asked, smoothed over a few periods; it is called once per period.
+func (b *Bucket) Demand(period time.Duration) float64 {
+	const weight = 0.5
+	b.demand += weight * (b.arrived/period.Seconds() - b.demand)
+	b.arrived = 0
+	return b.demand
+}
--- /dev/null
+++ b/internal/core/mtbudget/doc.go
@@ -0,0 +1,2 @@
+// Package mtbudget bounds retries and hedges to a part of the calls.
+package mtbudget
--- /dev/null
+++ b/internal/core/mtdispatch/dispatcher.go
@@ -0,0 +1,264 @@
+// A call is bound late: it waits here, not at an endpoint, until a slot is believed free, so a call never sits behind a
+// slow one while another endpoint idles. The flow of one call:
+//
+//	Offer -> queue -> Bind (when a slot is free) -> sent -> End -> Bind for the next
+//	         |-> Expire, Cancel or a drop: the call did not run
+//
+// Bind prefers endpoints that this instance leads, then those of the own data centre, then the emptiest, and among equals
+// the draw decides, so that instances that share a report do not all choose the same endpoint. Ejected endpoints are
+// passed over until half of the pool is ejected; beyond that the failures tell more of the calls than of the endpoints.
+
+package mtdispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/mangotack/mangotack/internal/core/mtendpoint"
+	"github.com/mangotack/mangotack/internal/core/mtqueue"
+)
+
+const (
+	queuePerSlot  = 16
+	queueSmallest = 64
+	// patience is how long the first call waits although every slot looks taken while none of the own calls runs.
+	patience = 20 * time.Millisecond
+)
+
+var (
+	namespace = errorx.NewNamespace("dispatch")
+	// Late is the type of the error for a call whose deadline comes before its turn.
+	Late = namespace.NewType("late")
+	// Empty is the type of the error for a service without endpoints.
+	Empty = namespace.NewType("empty")
+)
+
+// Dispatcher holds the waiting calls and the endpoints of one service.
+type Dispatcher struct {
+	centre    string
+	endpoints []*mtendpoint.Endpoint
+	queue     *mtqueue.Queue
+	avoid     map[uint64]string
+	idleSince time.Time
+}
+
+// Grant binds a waiting call to an endpoint.
+type Grant struct {
+	ID       uint64
+	Team     string
+	Endpoint *mtendpoint.Endpoint
+}
+
+// NewDispatcher returns a dispatcher without endpoints for an instance in a data centre.
+func NewDispatcher(centre string) *Dispatcher {
+	return &Dispatcher{
+		centre: centre,
+		queue:  mtqueue.NewQueue(queueSmallest),
+		avoid:  map[uint64]string{},
+	}
+}
+
+// SetEndpoints replaces the list of endpoints; an endpoint that stays must be passed with its old pointer.
+func (d *Dispatcher) SetEndpoints(endpoints []*mtendpoint.Endpoint) {
+	slices.SortFunc(endpoints, func(a, b *mtendpoint.Endpoint) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+	d.endpoints = endpoints
+	d.queue.Limit(max(queueSmallest, int(queuePerSlot*d.slots())))
+}
+
+// Endpoints returns the endpoints by name.
+func (d *Dispatcher) Endpoints() []*mtendpoint.Endpoint {
+	return d.endpoints
+}
+
+// Len returns the number of calls that wait.
+func (d *Dispatcher) Len() int {
+	return d.queue.Len()
+}
+
+func (d *Dispatcher) slots() float64 {
+	sum := 0.0
+	for _, endpoint := range d.endpoints {
+		sum += endpoint.Slots
+	}
+	return sum
+}
+
+// Offer adds a call that must not go to the endpoint named avoid; dropped are calls that lost their place to it.
+func (d *Dispatcher) Offer(id uint64, team, avoid string, deadline, now time.Time) (dropped []uint64, err error) {
+	if len(d.endpoints) == 0 {
+		return nil, Empty.New("no endpoint is listed")
+	}
+	if wait := d.wait(); now.Add(wait).After(deadline) {
+		return nil, Late.New("the expected wait is %s, %s are left", wait, deadline.Sub(now))
+	}
+	if avoid != "" {
+		d.avoid[id] = avoid
+	}
+	if victim, full := d.queue.Push(id, team, deadline); full {
+		delete(d.avoid, victim)
+		dropped = append(dropped, victim)
+	}
+	return dropped, nil
+}
+
+// wait estimates how long a call that comes now waits for its turn.
+func (d *Dispatcher) wait() time.Duration {
+	slots := max(1, d.slots())
+	return time.Duration(float64(d.queue.Len()) * float64(d.median()) / slots)
+}
+
+// Latency returns the median over the endpoints of the smoothed time of an answer, or 0 before the first answer.
+func (d *Dispatcher) Latency() time.Duration {
+	return d.median()
+}
+
+func (d *Dispatcher) median() time.Duration {
+	var latencies []time.Duration
+	for _, endpoint := range d.endpoints {
+		if latency := endpoint.Latency(); latency > 0 {
+			latencies = append(latencies, latency)
+		}
+	}
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[len(latencies)/2]
+}
+
+// Bind binds as many waiting calls as there are free slots.
+func (d *Dispatcher) Bind(now time.Time, random *rand.Rand) []Grant {
+	var grants []Grant
+	for d.queue.Len() > 0 {
+		endpoint := d.choose(now, random)
+		if endpoint == nil {
+			break
+		}
+		id, team, _ := d.queue.Pop()
+		if d.avoid[id] == endpoint.Name {
+			endpoint = d.other(endpoint, now, random)
+		}
+		delete(d.avoid, id)
+		endpoint.Start()
+		grants = append(grants, Grant{
+			ID:       id,
+			Team:     team,
+			Endpoint: endpoint,
+		})
+	}
+	return grants
+}
+
+func (d *Dispatcher) choose(now time.Time, random *rand.Rand) *mtendpoint.Endpoint {
+	usable := d.usable(now)
+	if best := d.best(usable, now, random, 1); best != nil {
+		d.idleSince = time.Time{}
+		return best
+	}
+	if len(usable) == 0 || d.inflight() > 0 {
+		d.idleSince = time.Time{}
+		return nil
+	}
+	if d.idleSince.IsZero() {
+		d.idleSince = now
+	}
+	if now.Sub(d.idleSince) < patience {
+		return nil
+	}
+	d.idleSince = time.Time{}
+	return d.best(usable, now, random, -1e9)
+}
+
+// other returns an endpoint for a call that must avoid one, or that one when there is no other.
+func (d *Dispatcher) other(avoided *mtendpoint.Endpoint, now time.Time, random *rand.Rand) *mtendpoint.Endpoint {
+	rest := slices.DeleteFunc(d.usable(now), func(endpoint *mtendpoint.Endpoint) bool {
+		return endpoint == avoided
+	})
+	if best := d.best(rest, now, random, -1e9); best != nil {
+		return best
+	}
+	return avoided
+}
+
+func (d *Dispatcher) inflight() int {
+	sum := 0
+	for _, endpoint := range d.endpoints {
+		sum += endpoint.Inflight()
+	}
+	return sum
+}
+
+func (d *Dispatcher) usable(now time.Time) []*mtendpoint.Endpoint {
+	var staying, healthy []*mtendpoint.Endpoint
+	for _, endpoint := range d.endpoints {
+		if endpoint.Leaving {
+			continue
+		}
+		staying = append(staying, endpoint)
+		if !endpoint.IsEjected(now) {
+			healthy = append(healthy, endpoint)
+		}
+	}
+	if 2*len(healthy) < len(staying) {
+		return staying
+	}
+	return healthy
+}
+
+func (d *Dispatcher) best(from []*mtendpoint.Endpoint, now time.Time, random *rand.Rand, least float64) *mtendpoint.Endpoint {
+	var best *mtendpoint.Endpoint
+	var bestScore float64
+	median := d.median()
+	for _, endpoint := range from {
+		free := endpoint.Free(now)
+		if free < least {
+			continue
+		}
+		score := d.score(endpoint, free, median) + random.Float64()
+		if best == nil || score > bestScore {
+			best = endpoint
+			bestScore = score
+		}
+	}
+	return best
+}
+
+func (d *Dispatcher) score(endpoint *mtendpoint.Endpoint, free float64, median time.Duration) float64 {
+	score := 10 * free / max(1, endpoint.Slots)
+	if endpoint.Lead {
+		score += 100
+	}
+	if endpoint.Centre == d.centre {
+		score += 20
+	}
+	if endpoint.IsStraggler(median) {
+		score -= 1000
+	}
+	return score
+}
+
+// End ends the service of a granted call; its endpoint has been told already.
+func (d *Dispatcher) End(team string) {
+	d.queue.Done(team)
+}
+
+// Cancel takes a waiting call out and reports whether it had not been granted.
+func (d *Dispatcher) Cancel(id uint64) bool {
+	delete(d.avoid, id)
+	return d.queue.Remove(id)
+}
+
+// Expire removes the waiting calls whose deadline has come.
+func (d *Dispatcher) Expire(now time.Time) []uint64 {
+	expired := d.queue.Expire(now)
+	for _, id := range expired {
+		delete(d.avoid, id)
+	}
+	return expired
+}
--- /dev/null
+++ b/internal/core/mtload/doc.go
@@ -0,0 +1,2 @@
+// Package mtload reads the load reports that endpoints send with their answers.
+package mtload
--- /dev/null
+++ b/internal/core/mtonce/doc.go
@@ -0,0 +1,2 @@
+// Package mtonce keeps the keys of calls that run at most once.
+package mtonce
--- /dev/null
+++ b/internal/core/mtqueue/doc.go
@@ -0,0 +1,2 @@
+// Package mtqueue holds waiting calls: fair between teams, the earliest deadline first within a team.
+package mtqueue
--- /dev/null
+++ b/internal/core/mtrefusal/doc.go
@@ -0,0 +1,2 @@
+// Package mtrefusal describes why an entry instance answers a call itself.
+package mtrefusal
--- /dev/null
+++ b/internal/core/mtshare/share.go
@@ -0,0 +1,71 @@
+// Every instance announces its demand and the part of the limit that it uses. While the demand of all is below the limit,
+// an instance wants what it is asked for and an even part of the rest, so callers that move to it are admitted at once.
+// Above the limit it wants its demand divided by the demand of all. It falls to that at once, but rises only into what
+// the announced parts of the others leave free:
+//
+//	A has 0.9 and wants 0.3   -> uses 0.3 now, announces 0.3
+//	B has 0.1 and wants 0.7   -> stays at 0.1 until it hears A's 0.3, then uses 0.7
+//
+// Instances that rise at the same moment divide what is free by how much each lacks. With equal views the parts in use
+// never add up to more than 1; a stale view can exceed it by what it has not heard yet. A floor of demand keeps a part for
+// an instance that has not been called yet.
+
+package mtshare
+
+// floorDemand is the demand in calls per second that an idle instance counts with.
+const floorDemand = 0.5
+
+// evenPart is the part of a bound on concurrency that follows the demand; the rest is split evenly.
+const evenPart = 0.5
+
+// Share is one instance's part of one limit.
+type Share struct {
+	part float64
+}
+
+// Announcement is what another instance last said of the same limit.
+type Announcement struct {
+	// Demand is in calls per second.
+	Demand float64
+	// Part is the fraction of the limit in use, from 0 to 1.
+	Part float64
+}
+
+// Part returns the fraction of the limit that may be used at present.
+func (s *Share) Part() float64 {
+	return s.part
+}
+
+// Adjust moves the part towards the own demand; limit is in calls per second, or 0 when only the concurrency is bounded.
+func (s *Share) Adjust(demand, limit float64, others []Announcement) float64 {
+	total := demand + floorDemand
+	held := 0.0
+	for _, other := range others {
+		total += other.Demand + floorDemand
+		held += other.Part
+	}
+	wanted := func(demand float64) float64 {
+		return wish(demand+floorDemand, total, limit, len(others)+1)
+	}
+	want := wanted(demand)
+	if want <= s.part {
+		s.part = want
+		return s.part
+	}
+	gaps := want - s.part
+	for _, other := range others {
+		gaps += max(0, wanted(other.Demand)-other.Part)
+	}
+	free := max(0, 1-held-s.part)
+	s.part += min(want-s.part, free*(want-s.part)/gaps)
+	return s.part
+}
+
+// wish returns the part that fits a demand.
+func wish(demand, total, limit float64, instances int) float64 {
+	asked := evenPart
+	if limit > 0 {
+		asked = min(1, total/limit)
+	}
+	return asked*demand/total + (1-asked)/float64(instances)
+}
--- /dev/null
+++ b/internal/core/mtticket/ticket.go
@@ -0,0 +1,66 @@
+// A key is a ticket and the caller's own suffix:
+//
+//	entry-3.18c2f0.6931a1c0-deposit-77
+//	^home   ^incarn ^expiry ^suffix
+//
+// Numbers are hexadecimal; expiry is in seconds of Unix time. Only the home and only in that incarnation may dispatch
+// the key, so two instances can never both run it, whatever they believe of the membership.
+
+package mtticket
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// KeyLimit bounds the length of a key in bytes.
+const KeyLimit = 200
+
+var (
+	namespace = errorx.NewNamespace("ticket")
+	// Malformed is the type of the error for a text that is not a ticket.
+	Malformed = namespace.NewType("malformed")
+)
+
+// Ticket names the only instance that may dispatch the keys that start with it.
+type Ticket struct {
+	Instance    string
+	Incarnation uint64
+	Expiry      time.Time
+}
+
+// String returns the ticket as callers hold it.
+func (t Ticket) String() string {
+	return t.Instance + "." + strconv.FormatUint(t.Incarnation, 16) + "." + strconv.FormatInt(t.Expiry.Unix(), 16)
+}
+
+// Parse reads the ticket at the start of a key; found is false when the key starts with no ticket.
+func Parse(key string) (ticket Ticket, found bool, err error) {
+	if len(key) > KeyLimit {
+		return Ticket{}, false, Malformed.New("a key of %d bytes, expected at most %d", len(key), KeyLimit)
+	}
+	parts := strings.SplitN(key, ".", 3)
+	if len(parts) < 3 {
+		return Ticket{}, false, nil
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return Ticket{}, false, Malformed.New("incarnation %q, expected a hexadecimal number", parts[1])
+	}
+	expiryText, suffix, _ := strings.Cut(parts[2], "-")
+	expiry, err := strconv.ParseInt(expiryText, 16, 64)
+	if err != nil || expiry < 0 {
+		return Ticket{}, false, Malformed.New("expiry %q, expected a hexadecimal number of seconds", expiryText)
+	}
+	if parts[0] == "" || suffix == "" {
+		return Ticket{}, false, Malformed.New("key %q, expected <instance>.<incarnation>.<expiry>-<suffix>", key)
+	}
+	return Ticket{
+		Instance:    parts[0],
+		Incarnation: incarnation,
+		Expiry:      time.Unix(expiry, 0),
+	}, true, nil
+}
--- /dev/null
+++ b/internal/core/mtwindow/doc.go
@@ -0,0 +1,2 @@
+// Package mtwindow holds a budget over a sliding window of time.
+package mtwindow
--- /dev/null
+++ b/internal/node/mtadmission/admission.go
@@ -0,0 +1,131 @@
+package mtadmission
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mangotack/mangotack/internal/core/mtbucket"
+	"github.com/mangotack/mangotack/internal/core/mtcall"
+	"github.com/mangotack/mangotack/internal/core/mtshare"
+	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
+	recordv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/record/v1"
+)
+
+// idlePeriods is the number of periods without a call after which a limit is no longer announced.
+const idlePeriods = 30
+
+// Admission keeps this instance's part of each limit; it is safe for use by many goroutines.
+type Admission struct {
+	mu     sync.Mutex
+	limits map[string]*limit
+	others map[string][]mtshare.Announcement
+}
+
+type limit struct {
+	bucket mtbucket.Bucket
+	share  mtshare.Share
+	bound  *recordv1.Limit
+	idle   int
+}
+
+// NewAdmission returns an admission that has seen no call.
+func NewAdmission() *Admission {
+	return &Admission{
+		limits: map[string]*limit{},
+		others: map[string][]mtshare.Announcement{},
+	}
+}
+
+// Admit takes a call into the limits of its team and its customer, or returns how long to wait.
+func (a *Admission) Admit(call *mtcall.Call, now time.Time) (wait time.Duration, admitted bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	team := a.limit(call.Tenant(), call.Team.GetLimit(), now)
+	customer := a.limit(call.Customer, call.Contract.GetLimit(), now)
+	if wait, admitted = team.bucket.Take(now); !admitted {
+		return wait, false
+	}
+	if wait, admitted = customer.bucket.Take(now); !admitted {
+		team.bucket.Undo()
+		return wait, false
+	}
+	return 0, true
+}
+
+// Release ends an admitted call.
+func (a *Admission) Release(call *mtcall.Call) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, key := range []string{call.Tenant(), call.Customer} {
+		if found := a.limits[key]; found != nil {
+			found.bucket.Release()
+		}
+	}
+}
+
+func (a *Admission) limit(key string, bound *recordv1.Limit, now time.Time) *limit {
+	found := a.limits[key]
+	if found == nil {
+		found = &limit{}
+		found.share.Adjust(0, bound.GetRate(), a.others[key])
+		a.limits[key] = found
+	}
+	found.idle = 0
+	if found.bound != bound {
+		found.bound = bound
+		found.apply(now)
+	}
+	return found
+}
+
+func (l *limit) apply(now time.Time) {
+	part := l.share.Part()
+	l.bucket.Limit(l.bound.GetRate()*part, float64(l.bound.GetConcurrency())*part, now)
+}
+
+// Adjust moves the parts towards the demand and returns what to announce; rows are those of the other live instances.
+func (a *Admission) Adjust(rows []*peerv1.Row, period time.Duration, now time.Time) []*peerv1.Share {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.others = announcements(rows, a.limits)
+	var shares []*peerv1.Share
+	for key, found := range a.limits {
+		found.idle++
+		if found.idle > idlePeriods && found.bucket.IsIdle() {
+			delete(a.limits, key)
+			continue
+		}
+		demand := found.bucket.Demand(period)
+		part := found.share.Adjust(demand, found.bound.GetRate(), a.others[key])
+		found.apply(now)
+		shares = append(shares, &peerv1.Share{
+			Key:    key,
+			Demand: float32(demand),
+			Part:   float32(part),
+		})
+	}
+	return shares
+}
+
+// announcements lists what the rows say per key; an instance that is silent on a key counts as idle.
+func announcements(rows []*peerv1.Row, limits map[string]*limit) map[string][]mtshare.Announcement {
+	others := map[string][]mtshare.Announcement{}
+	for _, row := range rows {
+		said := map[string]*peerv1.Share{}
+		for _, share := range row.GetShares() {
+			said[share.GetKey()] = share
+		}
+		for key := range limits {
+			if said[key] == nil {
+				said[key] = &peerv1.Share{}
+			}
+		}
+		for key, share := range said {
+			others[key] = append(others[key], mtshare.Announcement{
+				Demand: float64(share.GetDemand()),
+				Part:   float64(share.GetPart()),
+			})
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/internal/node/mtadmission/doc.go
@@ -0,0 +1,2 @@
+// Package mtadmission admits calls within the limits of contracts.
+package mtadmission
--- /dev/null
+++ b/internal/node/mtcrews/doc.go
@@ -0,0 +1,2 @@
+// Package mtcrews derives the crews of services from the members and the marks.
+package mtcrews
--- /dev/null
+++ b/internal/node/mtnode/doc.go
@@ -0,0 +1,2 @@
+// Package mtnode assembles an entry instance from its tables and adapters.
+package mtnode
--- /dev/null
+++ b/internal/node/mtworker/doc.go
@@ -0,0 +1,2 @@
+// Package mtworker runs periodic tasks on a fixed pool of workers.
+package mtworker
--- /dev/null
+++ b/internal/standin/mtloader/doc.go
@@ -0,0 +1,2 @@
+// Package mtloader is a stand-in for the callers of all teams.
+package mtloader
--- /dev/null
+++ b/internal/standin/mtstandin/doc.go
@@ -0,0 +1,2 @@
+// Package mtstandin runs the stand-ins for the platform and the endpoints in one process.
+package mtstandin
--- /dev/null
+++ b/internal/standin/mtstandinverb/doc.go
@@ -0,0 +1,2 @@
+// Package mtstandinverb holds the verbs of the stand-in program.
+package mtstandinverb
--- /dev/null
+++ b/internal/standin/mtstandinverb/table.go
@@ -0,0 +1,133 @@
+package mtstandinverb
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/signal"
+	"syscall"
+
+	"connectrpc.com/connect"
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtdocument"
+	settingsv1 "github.com/mangotack/mangotack/internal/gen/mangotack/settings/v1"
+	standinv1 "github.com/mangotack/mangotack/internal/gen/mangotack/standin/v1"
+	"github.com/mangotack/mangotack/internal/gen/mangotack/standin/v1/standinv1connect"
+	"github.com/mangotack/mangotack/internal/standin/mtstandin"
+)
+
+// verbs is the look-up table of all verbs.
+var verbs = []func(settings *string) *cobra.Command{
+	newServeCommand,
+	newLoadCommand,
+	newLogCommand,
+	newEndpointCommand,
+	newVerdictCommand,
+}
+
+// Run runs the program with its arguments and returns its exit code.
+func Run(arguments []string, stdout, stderr io.Writer) int {
+	settings := ""
+	root := &cobra.Command{
+		Use:           "mangotack-standin",
+		Short:         "Stand-ins for the platform, the endpoints and the callers",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.PersistentFlags().StringVar(&settings, "settings", "", "file of settings")
+	for _, newCommand := range verbs {
+		root.AddCommand(newCommand(&settings))
+	}
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(stderr, "mangotack-standin:", err)
+		return 1
+	}
+	return 0
+}
+
+func load(file string) (*settingsv1.Standin, error) {
+	settings := &settingsv1.Standin{}
+	findings := mtdocument.Load(file, mtdocument.Standin, settings)
+	failures := make([]error, len(findings))
+	for i, finding := range findings {
+		failures[i] = errors.New(finding.String())
+	}
+	return settings, errors.Join(failures...)
+}
+
+func newServeCommand(file *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "serve",
+		Short: "Run the platform and the endpoints until SIGTERM or SIGINT",
+		RunE: func(_ *cobra.Command, _ []string) error {
+			settings, err := load(*file)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return mtstandin.NewStandin(settings).Run(ctx)
+		},
+	}
+}
+
+func switches(file string) (standinv1connect.SwitchServiceClient, error) {
+	settings, err := load(file)
+	if err != nil {
+		return nil, err
+	}
+	return standinv1connect.NewSwitchServiceClient(http.DefaultClient, "http://"+settings.GetPlatform()), nil
+}
+
+func newLogCommand(file *string) *cobra.Command {
+	request := &standinv1.SetLogRequest{}
+	command := &cobra.Command{
+		Use:   "log",
+		Short: "Replace the behaviour of the log",
+	}
+	command.Flags().BoolVar(&request.Out, "out", false, "fail each request")
+	command.Flags().BoolVar(&request.Lose, "lose", false, "lose the answers of appends")
+	slow := command.Flags().Duration("slow", 0, "delay each request")
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		request.Slow = durationpb.New(*slow)
+		client, err := switches(*file)
+		if err != nil {
+			return err
+		}
+		_, err = client.SetLog(command.Context(), connect.NewRequest(request))
+		return err
+	}
+	return command
+}
+
+func newEndpointCommand(file *string) *cobra.Command {
+	request := &standinv1.SetEndpointRequest{}
+	command := &cobra.Command{
+		Use:   "endpoint NAME",
+		Short: "Replace the behaviour of an endpoint",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			request.Name = arguments[0]
+			client, err := switches(*file)
+			if err != nil {
+				return err
+			}
+			_, err = client.SetEndpoint(command.Context(), connect.NewRequest(request))
+			return err
+		},
+	}
+	command.Flags().Float64Var(&request.Slower, "slower", 0, "multiply the service time")
+	command.Flags().BoolVar(&request.Fail, "fail", false, "fail each call at once")
+	command.Flags().BoolVar(&request.Shed, "shed", false, "refuse each call before it runs")
+	command.Flags().BoolVar(&request.Silent, "silent", false, "make the open connections go silent")
+	command.Flags().BoolVar(&request.Cold, "cold", false, "be slow for two seconds, as after a start")
+	command.Flags().BoolVar(&request.Leaving, "leaving", false, "count new work from 3 s after now on")
+	return command
+}
--- /dev/null
+++ b/internal/standin/mttally/doc.go
@@ -0,0 +1,2 @@
+// Package mttally counts what callers were told.
+package mttally
--- /dev/null
+++ b/internal/standin/mtverdict/doc.go
@@ -0,0 +1,2 @@
+// Package mtverdict judges a run against the promises.
+package mtverdict
--- /dev/null
+++ b/internal/standin/mtworkserver/doc.go
@@ -0,0 +1,2 @@
+// Package mtworkserver is a stand-in for an endpoint with slots, load reports and faults.
+package mtworkserver
--- /dev/null
+++ b/internal/verb/mtoperator/doc.go
@@ -0,0 +1,2 @@
+// Package mtoperator is the operator's side of publishing changes.
+package mtoperator
--- /dev/null
+++ b/internal/verb/mtverb/table.go
@@ -0,0 +1,100 @@
+package mtverb
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit codes of the program.
+const (
+	exitOK      = 0
+	exitRefused = 1
+	exitUsage   = 2
+)
+
+// verbs is the look-up table of all verbs.
+var verbs = []func() *cobra.Command{
+	newCheckCommand,
+	newHashCommand,
+	newLogCommand,
+	newMarkCommand,
+	newPublishCommand,
+	newResolveCommand,
+	newServeCommand,
+	newStatusCommand,
+	newVersionCommand,
+}
+
+// errRefused ends a verb whose findings were printed already.
+var errRefused = errors.New("refused")
+
+// usageError is a fault of the command line.
+type usageError struct {
+	error
+}
+
+// Run runs the program with its arguments and returns its exit code.
+func Run(arguments []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	if !errors.Is(err, errRefused) {
+		fmt.Fprintln(stderr, "mangotack:", err)
+	}
+	var usage usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitRefused
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "mangotack",
+		Short:         "A load balancer for servers whose load shifts in milliseconds",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args: func(_ *cobra.Command, arguments []string) error {
+			if len(arguments) > 0 {
+				return usageError{error: fmt.Errorf("verb: found %q, expected one that \"mangotack help\" lists", arguments[0])}
+			}
+			return nil
+		},
+		RunE: func(command *cobra.Command, _ []string) error {
+			return command.Help()
+		},
+	}
+	root.SetFlagErrorFunc(func(command *cobra.Command, err error) error {
+		return usageError{error: fmt.Errorf("%s: %w; see \"mangotack help %s\"", command.Name(), err, command.Name())}
+	})
+	for _, newCommand := range verbs {
+		root.AddCommand(newCommand())
+	}
+	for _, topic := range topics {
+		root.AddCommand(topic.command())
+	}
+	return root
+}
+
+// files requires at least one argument that names a file.
+func files(command *cobra.Command, arguments []string) error {
+	if len(arguments) == 0 {
+		return usageError{error: fmt.Errorf("%s: found no FILE, expected at least one", command.Name())}
+	}
+	return nil
+}
+
+func noArguments(command *cobra.Command, arguments []string) error {
+	if len(arguments) > 0 {
+		return usageError{error: fmt.Errorf("%s: found argument %q, expected none", command.Name(), arguments[0])}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/mtoutcome/doc.go
@@ -0,0 +1,2 @@
+// Package mtoutcome names what can have become of a call.
+package mtoutcome
