--- a/internal/adapter/mtfeed/feed.go
+++ b/internal/adapter/mtfeed/feed.go
@@ -52,10 +52,10 @@
 
 // Feed is the connection to the platform's log.
 type Feed struct {
-	client   platformv1connect.LogServiceClient
-	state    State
-	logger   *logrus.Logger
-	lost     bool
+	client platformv1connect.LogServiceClient
+	state  State
+	logger *logrus.Logger
+	lost   bool
 	// snapshot is when the last snapshot was seen on the log, in nanoseconds of Unix time.
 	snapshot atomic.Int64
 }
--- a/internal/adapter/mtpool/pool.go
+++ b/internal/adapter/mtpool/pool.go
@@ -61,29 +61,35 @@
 	idle []*Conn
 }
 
-// NewPool returns a pool that dials from a local IP number, or from any when it is nil.
-func NewPool(local net.IP) *Pool {
-	return &Pool{
-		http1: newTransport(local, false),
-		h2c:   newTransport(local, true),
-		sets:  map[string]*set{},
-	}
-}
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-func newTransport(local net.IP, h2c bool) *http.Transport {
+// DialFrom returns a dial that connects by TCP from a local IP number.
+func DialFrom(local net.IP) Dial {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
-	}
-	if local != nil {
-		dialer.LocalAddr = &net.TCPAddr{
+		LocalAddr: &net.TCPAddr{
 			IP: local,
-		}
+		},
 	}
+	return dialer.DialContext
+}
+
+// NewPool returns a pool that opens its connections with a dial.
+func NewPool(dial Dial) *Pool {
+	return &Pool{
+		http1: newTransport(dial, false),
+		h2c:   newTransport(dial, true),
+		sets:  map[string]*set{},
+	}
+}
+
+func newTransport(dial Dial, h2c bool) *http.Transport {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(!h2c)
 	protocols.SetUnencryptedHTTP2(h2c)
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: headerLimit,
--- a/internal/adapter/mtwriter/writer.go
+++ b/internal/adapter/mtwriter/writer.go
@@ -50,6 +50,7 @@
 func (w *Writer) Refuse(to http.ResponseWriter, request *http.Request, refusal *mtrefusal.Refusal, service string) {
 	header := to.Header()
 	header.Set(mtoutcome.Header, string(refusal.Outcome))
+	header.Set(mtoutcome.ReasonHeader, refusal.Reason)
 	if service != "" {
 		header.Set(mtcall.FailedHeader, service)
 	}
--- a/internal/core/mtbucket/bucket.go
+++ b/internal/core/mtbucket/bucket.go
@@ -18,9 +18,13 @@
 
 // Limit sets the rate in calls per second and the concurrency in calls; 0 sets no bound.
 func (b *Bucket) Limit(rate, concurrency float64, now time.Time) {
+	fresh := b.filled.IsZero()
 	b.fill(now)
 	b.rate = rate
 	b.concurrency = concurrency
+	if fresh {
+		b.tokens = b.size()
+	}
 	b.tokens = min(b.tokens, b.size())
 }
 
@@ -29,9 +33,7 @@
 }
 
 func (b *Bucket) fill(now time.Time) {
-	if b.filled.IsZero() {
-		b.tokens = 1
-	} else if elapsed := now.Sub(b.filled); elapsed > 0 {
+	if elapsed := now.Sub(b.filled); !b.filled.IsZero() && elapsed > 0 {
 		b.tokens = min(b.size(), b.tokens+b.rate*elapsed.Seconds())
 	}
 	b.filled = now
@@ -72,10 +74,11 @@
 	return b.inflight == 0
 }
 
-// Demand returns the calls per second that asked, smoothed over a few periods; it is called once per period.
+// Demand returns the calls per second that asked; it is called once per period, rises at once and falls smoothly.
 func (b *Bucket) Demand(period time.Duration) float64 {
-	const weight = 0.5
-	b.demand += weight * (b.arrived/period.Seconds() - b.demand)
+	const weight = 0.3
+	latest := b.arrived / period.Seconds()
+	b.demand = max(latest, b.demand+weight*(latest-b.demand))
 	b.arrived = 0
 	return b.demand
 }
--- a/internal/core/mtshare/share.go
+++ b/internal/core/mtshare/share.go
@@ -1,5 +1,6 @@
 // Every instance announces its demand and the part of the limit that it uses. While the demand of all is below the limit,
-// an instance wants what it is asked for and an even part of the rest, so callers that move to it are admitted at once.
+// an instance wants what it is asked for and a part of the rest, half of it split by demand, for bursts, and half evenly,
+// so that callers that move to it are admitted at once.
 // Above the limit it wants its demand divided by the demand of all. It falls to that at once, but rises only into what
 // the announced parts of the others leave free:
 //
@@ -15,8 +16,8 @@
 // floorDemand is the demand in calls per second that an idle instance counts with.
 const floorDemand = 0.5
 
-// evenPart is the part of a bound on concurrency that follows the demand; the rest is split evenly.
-const evenPart = 0.5
+// unknownPart stands for the part of a limit that is asked for, when only the concurrency is bounded.
+const unknownPart = 0.5
 
 // Share is one instance's part of one limit.
 type Share struct {
@@ -63,9 +64,10 @@
 
 // wish returns the part that fits a demand.
 func wish(demand, total, limit float64, instances int) float64 {
-	asked := evenPart
+	asked := unknownPart
 	if limit > 0 {
 		asked = min(1, total/limit)
 	}
-	return asked*demand/total + (1-asked)/float64(instances)
+	even := (1 - asked) / 2
+	return (1-even)*demand/total + even/float64(instances)
 }
--- a/internal/node/mtnode/node.go
+++ b/internal/node/mtnode/node.go
@@ -101,7 +101,7 @@
 		keys: mtkeys.NewKeys(settings.GetInstance(), incarnation, now,
 			mtonce.WithLimits(int(settings.GetKeys()), int(settings.GetKeys())/teamPart)),
 		router: mtrouter.NewRouter(settings.GetInstance(), settings.GetCentre()),
-		pool:   mtpool.NewPool(net.ParseIP(local)),
+		pool:   mtpool.NewPool(mtpool.DialFrom(net.ParseIP(local))),
 		list:   mtlist.NewList(settings.GetList(), logger),
 		feed:   mtfeed.NewFeed(settings.GetLog(), state, logger),
 		meter:  mtmeter.NewMeter(),
@@ -111,8 +111,6 @@
 		Incarnation: incarnation,
 		Epoch:       uint64(now.UnixMilli()),
 		Centre:      settings.GetCentre(),
-		Calls:       settings.GetCalls(),
-		Control:     settings.GetControl(),
 	}, mtmember.WithPeriod(gossipPeriod))
 	node.members = mtgossip.NewMembers(view, state, settings.GetSeeds(), settings.GetPeer(), logger)
 	node.crews = mtcrews.NewCrews(state, node.members)
@@ -128,11 +126,21 @@
 	}
 	n.control, err = mtserver.NewServer(n.settings.GetControl(), "", "", n.controlHandler())
 	if err != nil {
-		return n.calls.Close()
+		_ = n.calls.Close()
+		return err
 	}
+	n.members.Fill(func(self *peerv1.Row) {
+		self.Calls = n.calls.Address()
+		self.Control = n.control.Address()
+	})
 	return nil
 }
 
+// Addresses returns where the instance listens for callers and for control.
+func (n *Node) Addresses() (calls, control string) {
+	return n.calls.Address(), n.control.Address()
+}
+
 func (n *Node) callsHandler() http.Handler {
 	sender := mtsender.NewSender(n.router, n.pool,
 		mtsender.WithMembers(n.memberCount),
--- a/internal/standin/mtloader/loader.go
+++ b/internal/standin/mtloader/loader.go
@@ -93,12 +93,19 @@
 		work, _ := strconv.ParseInt(answer.Header.Get(mtworkserver.WorkHeader), 10, 64)
 		l.tally.Answer(took-time.Duration(work)*time.Microsecond, isRight(answer, nonce))
 	case err == nil && answer.Outcome == mtoutcome.NotRun, errorx.IsOfType(err, mtcaller.NotRun):
-		l.tally.Refuse(nonce)
+		l.tally.Refuse(nonce, reasonOf(answer, err))
 	default:
-		l.tally.Lose()
+		l.tally.Lose(reasonOf(answer, err))
 	}
 }
 
+func reasonOf(answer *mtcaller.Answer, err error) string {
+	if err != nil {
+		return errorx.GetTypeName(err)
+	}
+	return answer.Reason
+}
+
 func request(load *settingsv1.Load, nonce string) mtcaller.Call {
 	return mtcaller.Call{
 		Service: load.GetService(),
--- a/internal/standin/mtstandinverb/run.go
+++ b/internal/standin/mtstandinverb/run.go
@@ -1,10 +1,14 @@
 package mtstandinverb
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -42,6 +46,23 @@
 	return command
 }
 
+// probes reads the number of probes that an entry instance has sent; one that is gone counts as none.
+func probes(control string) float64 {
+	response, err := http.Get("http://" + control + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if text, found := strings.CutPrefix(lines.Text(), "mangotack_probes_total "); found {
+			number, _ := strconv.ParseFloat(text, 64)
+			return number
+		}
+	}
+	return 0
+}
+
 func newVerdictCommand(file *string) *cobra.Command {
 	path := ""
 	verdict := &mtverdict.Verdict{}
@@ -51,7 +72,7 @@
 	}
 	command.Flags().StringVar(&path, "tally", "", "file of the tally")
 	command.Flags().DurationVar(&verdict.Force, "force", 0, "time that an amended contract took to be in force everywhere")
-	command.Flags().Float64Var(&verdict.Probes, "probes", 0, "probes sent")
+	controls := command.Flags().StringSlice("controls", nil, "control addresses whose metrics count the probes")
 	command.Flags().Float64Var(&verdict.Budget, "budget", 0, "probes allowed")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		text, err := os.ReadFile(path)
@@ -73,6 +94,9 @@
 			return err
 		}
 		verdict.Report = answer.Msg
+		for _, control := range *controls {
+			verdict.Probes += probes(control)
+		}
 		if !verdict.Print(command.OutOrStdout()) {
 			return errors.New("a promise was broken")
 		}
--- a/internal/standin/mttally/tally.go
+++ b/internal/standin/mttally/tally.go
@@ -29,6 +29,8 @@
 	// Strangers is the number of calls of unapproved teams, and Let the number of those that were answered.
 	Strangers int `json:"strangers"`
 	Let       int `json:"let"`
+	// Reasons counts the calls that were not answered by reason.
+	Reasons map[string]int `json:"reasons"`
 	// NotRun are the nonces of the calls that were told as not run.
 	NotRun []string `json:"notrun"`
 	// The quantiles of the latency added to the endpoint's own time, in milliseconds.
@@ -40,7 +42,8 @@
 // NewTally returns an empty tally.
 func NewTally() *Tally {
 	return &Tally{
-		added: hdrhistogram.New(1, longest, digits),
+		added:   hdrhistogram.New(1, longest, digits),
+		Reasons: map[string]int{},
 	}
 }
 
@@ -57,21 +60,23 @@
 	_ = t.added.RecordValue(min(longest, max(1, added.Microseconds())))
 }
 
-// Refuse counts a call that was told as not run.
-func (t *Tally) Refuse(nonce string) {
+// Refuse counts a call that was told as not run, and why.
+func (t *Tally) Refuse(nonce, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Calls++
 	t.Refused++
+	t.Reasons[reason]++
 	t.NotRun = append(t.NotRun, nonce)
 }
 
-// Lose counts a call that was told as possibly run.
-func (t *Tally) Lose() {
+// Lose counts a call that was told as possibly run, and why.
+func (t *Tally) Lose(reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Calls++
 	t.Unknown++
+	t.Reasons[reason]++
 }
 
 // Strange counts a call of an unapproved team and whether it was answered.
--- a/internal/standin/mtverdict/verdict.go
+++ b/internal/standin/mtverdict/verdict.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -82,6 +84,9 @@
 	fmt.Fprintf(table, "answered\t%d\n", v.Tally.Answered)
 	fmt.Fprintf(table, "refused (not run)\t%d\n", v.Tally.Refused)
 	fmt.Fprintf(table, "unknown\t%d\n", v.Tally.Unknown)
+	for _, reason := range slices.Sorted(maps.Keys(v.Tally.Reasons)) {
+		fmt.Fprintf(table, "  of these %s\t%d\n", reason, v.Tally.Reasons[reason])
+	}
 	fmt.Fprintf(table, "added p50 / p99 / p99.9\t%.2f / %.2f / %.2f ms\n", v.Tally.P50, v.Tally.P99, v.Tally.P999)
 	fmt.Fprintf(table, "most runs of one once-call\t%d\n", v.Report.GetRepeated())
 	fmt.Fprintf(table, "new work on the leaving endpoint after 3 s\t%d\n", v.Report.GetLate())
--- a/pkg/mtcaller/client.go
+++ b/pkg/mtcaller/client.go
@@ -63,6 +63,8 @@
 	Body    []byte
 	// Outcome is empty for an endpoint's answer.
 	Outcome mtoutcome.Outcome
+	// Reason names why the call was refused; it is empty for an endpoint's answer.
+	Reason string
 	// Retry is how long to wait before another call, or 0.
 	Retry time.Duration
 }
@@ -242,6 +244,7 @@
 		Header:  response.Header,
 		Trailer: response.Trailer,
 		Body:    body,
+		Reason:  response.Header.Get(mtoutcome.ReasonHeader),
 		Outcome: mtoutcome.Outcome(response.Header.Get(mtoutcome.Header)),
 		Retry:   time.Duration(retry) * time.Second,
 	}, nil
--- a/pkg/mtoutcome/outcome.go
+++ b/pkg/mtoutcome/outcome.go
@@ -13,5 +13,8 @@
 	Answered Outcome = "answered"
 )
 
+// ReasonHeader is the name of the HTTP header that names the reason of a refused call.
+const ReasonHeader = "Mangotack-Reason"
+
 // Header is the name of the HTTP header that states the outcome of a refused call.
 const Header = "Mangotack-Outcome"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -50,9 +50,8 @@
 $standin log --out
 sleep 3
 $standin log
-kill -9 "${entry_pid[5]}"
+{ kill -9 "${entry_pid[5]}"; wait "${entry_pid[5]}" || true; } 2>/dev/null
 start_entry 7
 wait $load
-probes=$(for ip in 1.101 2.102 3.103 1.104 3.106; do curl -s "http://127.0.$ip:7200/metrics"; done | awk '/^mangotack_probes_total/ {sum += $2} END {print sum + 0}')
 budget=$(sed -n 's/.*"probes": \([0-9]*\).*/\1/p' "$here/entry.json")
-$standin verdict --tally "$work/tally.json" --force "${force:-0s}" --probes "$probes" --budget $((budget * 12))
+$standin verdict --tally "$work/tally.json" --force "${force:-0s}" --controls 127.0.1.101:7200,127.0.2.102:7200,127.0.3.103:7200,127.0.1.104:7200,127.0.3.106:7200,127.0.1.107:7200 --budget $((budget * 12))
