Cases, golden sessions and fuzz targets

Cause: the command line, the bad inputs and a whole session were not pinned. Found on the way: a report or a rate of NaN passed the range checks; calls of a service whose last endpoint leaves waited for their whole deadline; a key that had been answered was refused as if another instance could serve it.

--- a/Makefile
+++ b/Makefile
@@ -10,3 +10,8 @@
 
 demo: build
 	scripts/demo.sh
+
+# cases replays the case directories and golden sessions and rewrites what they expect; read the diff before a commit.
+cases:
+	go test ./internal/verb/mtverb -rewrite
+	git diff --stat -- cases internal/verb
--- a/internal/adapter/mtdocument/document.go
+++ b/internal/adapter/mtdocument/document.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/big"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -147,13 +149,19 @@
 		finding.Expected = strings.Join(found.Want, " or ")
 	case *kind.Pattern:
 		finding.Found = fmt.Sprintf("a text of %d bytes", len(found.Got))
-		finding.Expected = "a text that matches " + found.Want
+		finding.Expected = describePattern(found.Want)
 	case *kind.Enum:
 		finding.Found = "another value"
 		finding.Expected = "one of " + strings.Trim(fmt.Sprint(found.Want), "[]")
 	case *kind.MinLength:
 		finding.Found = fmt.Sprintf("a text of %d characters", found.Got)
 		finding.Expected = fmt.Sprintf("at least %d characters", found.Want)
+	case *kind.Minimum:
+		finding.Found = number(found.Got)
+		finding.Expected = "at least " + number(found.Want)
+	case *kind.Maximum:
+		finding.Found = number(found.Got)
+		finding.Expected = "at most " + number(found.Want)
 	default:
 		finding.Found = failure.ErrorKind.LocalizedString(message.NewPrinter(language.English))
 		finding.Expected = "a value within the documented bounds"
@@ -161,6 +169,27 @@
 	return finding
 }
 
+func number(value *big.Rat) string {
+	text, _ := value.Float64()
+	return strconv.FormatFloat(text, 'g', -1, 64)
+}
+
+// words describe the patterns of the schemas.
+var words = map[string]string{
+	`^[a-z0-9][a-z0-9-]{0,62}$`:                                    "1 to 63 lower-case letters, digits and hyphens",
+	`^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):[0-9]{1,5}$`: "an IP number and a port, such as 127.0.0.1:7100",
+	`^[0-9a-f]{64}$`:           "a SHA-256 hash of 64 hexadecimal digits",
+	`^[0-9]+(\.[0-9]{1,9})?s$`: "a time in seconds, such as 2.5s",
+	`^[A-Za-z_][A-Za-z0-9_]*(\.[A-Za-z_][A-Za-z0-9_]*)+$`: "a package and a service, such as kilele.menu.v1.MenuService",
+}
+
+func describePattern(pattern string) string {
+	if text, known := words[pattern]; known {
+		return text
+	}
+	return "a text that matches " + pattern
+}
+
 func pointerOf(location []string) string {
 	pointer := ""
 	for _, token := range location {
--- a/internal/adapter/mtguard/guard.go
+++ b/internal/adapter/mtguard/guard.go
@@ -78,8 +78,12 @@
 	if err != nil {
 		return mtrefusal.Unknown(mtrefusal.Home, "entry instance %s, which the key's ticket names, can't be asked", ticket.Instance)
 	}
+	reason := mtrefusal.Home
+	if outcome == mtoutcome.Answered {
+		reason = mtrefusal.Repeated
+	}
 	return &mtrefusal.Refusal{
-		Reason:  mtrefusal.Home,
+		Reason:  reason,
 		Outcome: outcome,
 		Message: "the key belongs to entry instance " + ticket.Instance + ", which was asked for its outcome",
 	}
--- a/internal/core/mtdispatch/dispatcher.go
+++ b/internal/core/mtdispatch/dispatcher.go
@@ -27,13 +27,15 @@
 	queueSmallest = 64
 	// patience is how long the first call waits although every slot looks taken while none of the own calls runs.
 	patience = 20 * time.Millisecond
+	// forever is longer than any deadline.
+	forever = 1 << 62
 )
 
 var (
 	namespace = errorx.NewNamespace("dispatch")
 	// Late is the type of the error for a call whose deadline comes before its turn.
 	Late = namespace.NewType("late")
-	// Empty is the type of the error for a service without endpoints.
+	// Empty is the type of the error for a service all of whose endpoints leave, or that has none.
 	Empty = namespace.NewType("empty")
 )
 
@@ -91,8 +93,8 @@
 
 // Offer adds a call that must not go to the endpoint named avoid; dropped are calls that lost their place to it.
 func (d *Dispatcher) Offer(id uint64, team, avoid string, deadline, now time.Time) (dropped []uint64, err error) {
-	if len(d.endpoints) == 0 {
-		return nil, Empty.New("no endpoint is listed")
+	if len(d.usable(now)) == 0 {
+		return nil, Empty.New("%d endpoints are listed, none of them stays", len(d.endpoints))
 	}
 	if wait := d.wait(); now.Add(wait).After(deadline) {
 		return nil, Late.New("the expected wait is %s, %s are left", wait, deadline.Sub(now))
@@ -254,6 +256,14 @@
 	return d.queue.Remove(id)
 }
 
+// Abandon removes all waiting calls when no endpoint is left that could serve them.
+func (d *Dispatcher) Abandon(now time.Time) []uint64 {
+	if len(d.usable(now)) > 0 {
+		return nil
+	}
+	return d.Expire(now.Add(forever))
+}
+
 // Expire removes the waiting calls whose deadline has come.
 func (d *Dispatcher) Expire(now time.Time) []uint64 {
 	expired := d.queue.Expire(now)
--- a/internal/core/mtload/report.go
+++ b/internal/core/mtload/report.go
@@ -35,7 +35,8 @@
 	for metric := range strings.SplitSeq(metrics, ",") {
 		name, valueText, _ := strings.Cut(strings.TrimSpace(metric), "=")
 		value, err := strconv.ParseFloat(valueText, 64)
-		if err != nil || value < 0 || value > valueLimit {
+		// Not-a-number fails every comparison, so the range is tested from inside.
+		if inRange := value >= 0 && value <= valueLimit; err != nil || !inRange {
 			return Report{}, false
 		}
 		report.set(name, value)
--- a/internal/core/mtrecord/check.go
+++ b/internal/core/mtrecord/check.go
@@ -21,6 +21,9 @@
 	hashPattern    = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
+// rateLimit bounds rates, in calls per second.
+const rateLimit = 1e9
+
 const (
 	nameExpected    = "1 to 63 lower-case letters, digits and hyphens"
 	serviceExpected = "a package and a service, such as kilele.menu.v1.MenuService"
@@ -92,7 +95,9 @@
 }
 
 func (c *checker) limit(pointer string, limit *recordv1.Limit) {
-	if rate := limit.GetRate(); rate < 0 || rate > 1e9 {
+	rate := limit.GetRate()
+	// Not-a-number fails every comparison, so the range is tested from inside.
+	if inRange := rate >= 0 && rate <= rateLimit; !inRange {
 		c.add(pointer+"/rate", strconv.FormatFloat(rate, 'g', -1, 64), "a number from 0 to 1e9")
 	}
 }
--- a/internal/node/mtrouter/desk.go
+++ b/internal/node/mtrouter/desk.go
@@ -17,8 +17,12 @@
 	platformv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1"
 )
 
-// busyRetry is how long a caller is told to wait when the queue is full.
-const busyRetry = 100 * time.Millisecond
+const (
+	// busyRetry is how long a caller is told to wait when the queue is full.
+	busyRetry = 100 * time.Millisecond
+	// unreachedRetry is how long a caller is told to wait when the service has no endpoint.
+	unreachedRetry = time.Second
+)
 
 // desk is the dispatcher of one service with the goroutines that wait for it.
 type desk struct {
@@ -100,7 +104,7 @@
 	if errorx.IsOfType(err, mtdispatch.Late) {
 		return mtrefusal.NotRun(mtrefusal.Busy, "%s", message(err)).After(busyRetry)
 	}
-	return mtrefusal.NotRun(mtrefusal.Unreached, "%s", message(err)).After(time.Second)
+	return mtrefusal.NotRun(mtrefusal.Unreached, "%s", message(err)).After(unreachedRetry)
 }
 
 func message(err error) string {
@@ -185,6 +189,9 @@
 		endpoints = append(endpoints, endpoint)
 	}
 	d.dispatcher.SetEndpoints(endpoints)
+	for _, id := range d.dispatcher.Abandon(now) {
+		d.refuse(id, mtrefusal.NotRun(mtrefusal.Unreached, "the last endpoint of the service leaves").After(unreachedRetry))
+	}
 	d.bind(now)
 }
 
--- /dev/null
+++ b/internal/node/mtstate/state_test.go
@@ -0,0 +1,29 @@
+package mtstate_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mangotack/mangotack/internal/node/mtstate"
+	platformv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1"
+	recordv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/record/v1"
+)
+
+// Whatever stands on the log, a reader goes past it and never panics.
+func FuzzApply(f *testing.F) {
+	mark, err := proto.Marshal(&recordv1.Record{
+		Id:   "a",
+		Body: &recordv1.Record_Mark{Mark: &recordv1.Mark{Instance: "x", Leaving: true}},
+	})
+	require.NoError(f, err)
+	f.Add(mark)
+	f.Add([]byte("nonsense"))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		state := mtstate.NewState()
+		require.NoError(t, state.Apply([]*platformv1.Entry{{Data: data}}))
+		require.EqualValues(t, 1, state.Applied())
+	})
+}
--- a/internal/testkit/mtsite/site.go
+++ b/internal/testkit/mtsite/site.go
@@ -44,6 +44,18 @@
 	Nodes []*Node
 	t     testing.TB
 	url   string
+	// operator is the operators' token.
+	operator string
+}
+
+// Option changes a site under construction.
+type Option func(*Site)
+
+// WithOperator sets the operators' token.
+func WithOperator(token string) Option {
+	return func(s *Site) {
+		s.operator = token
+	}
 }
 
 // Node is one running entry instance.
@@ -56,11 +68,15 @@
 }
 
 // NewSite runs a platform without entry instances; the test's end stops everything.
-func NewSite(t testing.TB) *Site {
+func NewSite(t testing.TB, options ...Option) *Site {
 	site := &Site{
-		Log:  mtplatform.NewLog(time.Hour),
-		List: mtplatform.NewList(0),
-		t:    t,
+		Log:      mtplatform.NewLog(time.Hour),
+		List:     mtplatform.NewList(0),
+		t:        t,
+		operator: OperatorToken,
+	}
+	for _, option := range options {
+		option(site)
 	}
 	mux := http.NewServeMux()
 	mux.Handle(platformv1connect.NewLogServiceHandler(site.Log))
@@ -93,7 +109,7 @@
 		Log:       s.url,
 		List:      s.url,
 		Peer:      peerSecret,
-		Operators: []string{mtrules.HashToken(OperatorToken)},
+		Operators: []string{mtrules.HashToken(s.operator)},
 		Hold:      durationpb.New(100 * time.Millisecond),
 		Stale:     durationpb.New(time.Minute),
 		Body:      1 << 16,
--- a/internal/verb/mtverb/table.go
+++ b/internal/verb/mtverb/table.go
@@ -15,6 +15,12 @@
 	exitUsage   = 2
 )
 
+// The groups under which help lists the commands.
+const (
+	verbGroup  = "verbs"
+	topicGroup = "topics"
+)
+
 // verbs is the look-up table of all verbs.
 var verbs = []func() *cobra.Command{
 	newCheckCommand,
@@ -75,8 +81,11 @@
 	root.SetFlagErrorFunc(func(command *cobra.Command, err error) error {
 		return usageError{error: fmt.Errorf("%s: %w; see \"mangotack help %s\"", command.Name(), err, command.Name())}
 	})
+	root.AddGroup(&cobra.Group{ID: verbGroup, Title: "Verbs:"}, &cobra.Group{ID: topicGroup, Title: "Topics:"})
 	for _, newCommand := range verbs {
-		root.AddCommand(newCommand())
+		command := newCommand()
+		command.GroupID = verbGroup
+		root.AddCommand(command)
 	}
 	for _, topic := range topics {
 		root.AddCommand(topic.command())
--- a/internal/verb/mtverb/topics.go
+++ b/internal/verb/mtverb/topics.go
@@ -53,14 +53,17 @@
 }
 
 func (t topic) command() *cobra.Command {
-	return &cobra.Command{
-		Use:   t.name,
-		Short: t.short,
-		Long:  t.text,
-		Args:  noArguments,
-		RunE: func(command *cobra.Command, _ []string) error {
+	command := &cobra.Command{
+		Use:     t.name,
+		Short:   t.short,
+		Args:    noArguments,
+		GroupID: topicGroup,
+		Run: func(command *cobra.Command, _ []string) {
 			command.Println(strings.TrimSpace(t.text))
-			return nil
 		},
 	}
+	command.SetHelpFunc(func(command *cobra.Command, _ []string) {
+		command.Println(strings.TrimSpace(t.text))
+	})
+	return command
 }
