Keys without a ticket are claimed on the log; drawn schedules of failures

Cause: a caller that chose its own key was refused. Proofs of refusal in HTTP/2 were compared by text without a test. Change: claims in batches on a stream of their own, first offset wins, read back before dispatch, at most some 200 appends a second over the fleet; a raw HTTP/2 endpoint pins what counts as a proof; 60 schedules of 40 calls with cuts, refusals, cancels, deadlines, a leaving endpoint and a dead instance, for once-calls and idempotent ones.

--- a/internal/adapter/mtcontrol/control.go
+++ b/internal/adapter/mtcontrol/control.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtauth"
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
@@ -23,8 +24,8 @@
 // settleTimeout bounds how long Publish waits to learn what became of a change.
 const settleTimeout = 10 * time.Second
 
-// State is the state of this instance.
-type State interface {
+// state is the state of this instance.
+type state interface {
 	Rules() *mtrules.Rules
 	IsReady() bool
 	Applied() uint64
@@ -34,21 +35,21 @@
 	Moved() <-chan struct{}
 }
 
-// Log is the platform's log.
-type Log interface {
-	Append(ctx context.Context, record *recordv1.Record) (uint64, error)
+// log is the platform's log.
+type log interface {
+	Append(ctx context.Context, message proto.Message) (uint64, error)
 	End(ctx context.Context) (uint64, error)
 }
 
-// Members is the view of all entry instances.
-type Members interface {
+// members is the view of all entry instances.
+type members interface {
 	Known() []*peerv1.Row
 	Live(now time.Time, states ...string) []*peerv1.Row
 	State(instance string, now time.Time) (string, time.Duration)
 }
 
-// Endpoints lists the endpoints as this instance sees them.
-type Endpoints interface {
+// endpoints lists the endpoints as this instance sees them.
+type endpoints interface {
 	Status(now time.Time) []*entryv1.EndpointStatus
 }
 
@@ -56,15 +57,15 @@
 type Control struct {
 	instance  string
 	operators []string
-	state     State
-	log       Log
-	members   Members
-	endpoints Endpoints
+	state     state
+	log       log
+	members   members
+	endpoints endpoints
 	logger    *logrus.Logger
 }
 
 // NewControl returns a service that takes changes from the holders of the operators' tokens, given as hashes.
-func NewControl(instance string, operators []string, state State, log Log, members Members, endpoints Endpoints, logger *logrus.Logger) *Control {
+func NewControl(instance string, operators []string, state state, log log, members members, endpoints endpoints, logger *logrus.Logger) *Control {
 	return &Control{
 		instance:  instance,
 		operators: operators,
--- a/internal/adapter/mtfeed/feed.go
+++ b/internal/adapter/mtfeed/feed.go
@@ -1,7 +1,7 @@
 // Two goroutines share the work: one reads batches from the log, the other applies them, joined by a channel, so a slow
 // application of records does not delay the next question to the log by more than one batch.
 //
-//	log -> read -> chan batch -> apply -> state
+//	log -> read -> chan *platformv1.ReadResponse -> apply -> state
 //
 // An instance that starts, or that was cut off for longer than the log keeps records, needs a snapshot. It reads all
 // that the log still has, takes the newest snapshot that reaches back to the oldest record, and goes on from there.
@@ -11,36 +11,29 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	platformv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1"
-	"github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1/platformv1connect"
 	recordv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/record/v1"
 )
 
 const (
-	// stream is the name of the stream of configuration.
-	stream      = "mangotack"
-	batchLimit  = 500
-	readWait    = 2 * time.Second
-	readTimeout = 5 * time.Second
-	retryDelay  = 500 * time.Millisecond
+	readWait      = 2 * time.Second
+	appendTimeout = 5 * time.Second
+	retryDelay    = 500 * time.Millisecond
 	// snapshotFactor is the number of snapshots within the log's retention.
 	snapshotFactor = 4
 	// rankFactor divides the retention into the delays between ranks.
 	rankFactor = 64
 )
 
-// State is what the log is folded into.
-type State interface {
+// state is what the log is folded into.
+type state interface {
 	Apply(entries []*platformv1.Entry) error
 	Merge(snapshot *recordv1.Snapshot)
 	Applied() uint64
@@ -50,31 +43,26 @@
 	IsReady() bool
 }
 
+// log is the stream of configuration on the platform's log.
+type log interface {
+	Append(ctx context.Context, message proto.Message) (uint64, error)
+	Read(ctx context.Context, from uint64, wait time.Duration) (*platformv1.ReadResponse, error)
+}
+
 // Feed is the connection to the platform's log.
 type Feed struct {
-	client platformv1connect.LogServiceClient
-	state  State
+	log    log
+	state  state
 	logger *logrus.Logger
 	lost   bool
 	// snapshot is when the last snapshot was seen on the log, in nanoseconds of Unix time.
 	snapshot atomic.Int64
 }
 
-type batch struct {
-	entries []*platformv1.Entry
-	oldest  uint64
-	next    uint64
-}
-
-// NewFeed returns a feed from the log at an IP number and port.
-func NewFeed(address string, state State, logger *logrus.Logger) *Feed {
-	client := &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: 4,
-		},
-	}
+// NewFeed returns a feed from the log's stream of configuration.
+func NewFeed(log log, state state, logger *logrus.Logger) *Feed {
 	feed := &Feed{
-		client: platformv1connect.NewLogServiceClient(client, "http://"+address),
+		log:    log,
 		state:  state,
 		logger: logger,
 	}
@@ -84,7 +72,7 @@
 
 // Run reads and applies until the context ends.
 func (f *Feed) Run(ctx context.Context) {
-	batches := make(chan batch)
+	batches := make(chan *platformv1.ReadResponse)
 	applied := make(chan struct{})
 	go f.readAll(ctx, batches, applied)
 	for next := range batches {
@@ -93,7 +81,7 @@
 	}
 }
 
-func (f *Feed) readAll(ctx context.Context, batches chan<- batch, applied <-chan struct{}) {
+func (f *Feed) readAll(ctx context.Context, batches chan<- *platformv1.ReadResponse, applied <-chan struct{}) {
 	defer close(batches)
 	for ctx.Err() == nil {
 		next, err := f.readNext(ctx)
@@ -111,47 +99,28 @@
 	}
 }
 
-func (f *Feed) readNext(ctx context.Context) (batch, error) {
+func (f *Feed) readNext(ctx context.Context) (*platformv1.ReadResponse, error) {
 	from := f.state.Applied()
-	next, err := f.read(ctx, from, readWait)
-	if err != nil || from >= next.oldest {
+	next, err := f.log.Read(ctx, from, readWait)
+	if err != nil || from >= next.GetOldest() {
 		return next, err
 	}
 	return f.readSnapshot(ctx, next)
 }
 
-func (f *Feed) read(ctx context.Context, from uint64, wait time.Duration) (batch, error) {
-	limited, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	answer, err := f.client.Read(limited, connect.NewRequest(&platformv1.ReadRequest{
-		Stream: stream,
-		From:   from,
-		Limit:  batchLimit,
-		Wait:   durationpb.New(wait),
-	}))
-	if err != nil {
-		return batch{}, err
-	}
-	return batch{
-		entries: answer.Msg.GetEntries(),
-		oldest:  answer.Msg.GetOldest(),
-		next:    answer.Msg.GetNext(),
-	}, nil
-}
-
 // readSnapshot reads all that the log keeps and merges the newest snapshot that leaves no gap.
-func (f *Feed) readSnapshot(ctx context.Context, first batch) (batch, error) {
+func (f *Feed) readSnapshot(ctx context.Context, first *platformv1.ReadResponse) (*platformv1.ReadResponse, error) {
 	var best *recordv1.Snapshot
-	for from := first.oldest; from < first.next; {
-		part, err := f.read(ctx, from, 0)
+	for from := first.GetOldest(); from < first.GetNext(); {
+		part, err := f.log.Read(ctx, from, 0)
 		if err != nil {
-			return batch{}, err
+			return nil, err
 		}
-		if len(part.entries) == 0 {
+		if len(part.GetEntries()) == 0 {
 			break
 		}
-		for _, entry := range part.entries {
-			if found := snapshotOf(entry); found.GetThrough() >= first.oldest && found.GetThrough() > best.GetThrough() {
+		for _, entry := range part.GetEntries() {
+			if found := snapshotOf(entry); found.GetThrough() >= first.GetOldest() && found.GetThrough() > best.GetThrough() {
 				best = found
 			}
 			from = entry.GetOffset() + 1
@@ -159,13 +128,10 @@
 	}
 	if best == nil {
 		mtevent.LogForgot.Log(f.logger, logrus.Fields{
-			"oldest": first.oldest,
+			"oldest": first.GetOldest(),
 		})
 		pause(ctx, retryDelay)
-		return batch{
-			oldest: first.oldest,
-			next:   first.next,
-		}, nil
+		return first, nil
 	}
 	f.state.Merge(best)
 	mtevent.SnapshotRead.Log(f.logger, logrus.Fields{
@@ -182,23 +148,23 @@
 	return record.GetSnapshot()
 }
 
-func (f *Feed) apply(next batch) {
-	if err := f.state.CheckEnd(next.next); err != nil {
+func (f *Feed) apply(next *platformv1.ReadResponse) {
+	if err := f.state.CheckEnd(next.GetNext()); err != nil {
 		mtevent.LogBackwards.Log(f.logger, logrus.Fields{
 			"error": err.Error(),
 		})
 		return
 	}
-	if f.state.Applied() < next.oldest {
+	if f.state.Applied() < next.GetOldest() {
 		return
 	}
-	for _, entry := range next.entries {
+	for _, entry := range next.GetEntries() {
 		if snapshotOf(entry) != nil {
 			f.snapshot.Store(entry.GetAppended().AsTime().UnixNano())
 		}
 	}
 	// A gap is read again from the offset applied, so its error needs no further care.
-	if err := f.state.Apply(next.entries); err == nil && f.state.Applied() >= next.next {
+	if err := f.state.Apply(next.GetEntries()); err == nil && f.state.Applied() >= next.GetNext() {
 		f.becomeReady()
 	}
 }
@@ -236,28 +202,6 @@
 	}
 }
 
-// Append appends a record and returns its offset; after an error the record may or may not be on the log.
-func (f *Feed) Append(ctx context.Context, record *recordv1.Record) (uint64, error) {
-	data, err := proto.Marshal(record)
-	if err != nil {
-		return 0, err
-	}
-	answer, err := f.client.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{
-		Stream: stream,
-		Data:   data,
-	}))
-	if err != nil {
-		return 0, err
-	}
-	return answer.Msg.GetOffset(), nil
-}
-
-// End returns the offset that the next append would get.
-func (f *Feed) End(ctx context.Context) (uint64, error) {
-	answer, err := f.read(ctx, ^uint64(0), 0)
-	return answer.next, err
-}
-
 // KeepSnapshot appends a snapshot when a quarter of the retention has passed since the last one on the log.
 //
 // The instance of rank 0 comes first; each further rank waits longer, in case those before it can't reach the log. Two
@@ -267,9 +211,9 @@
 	if !f.state.IsReady() || now.Sub(time.Unix(0, f.snapshot.Load())) < due {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	limited, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	offset, err := f.Append(limited, &recordv1.Record{
+	offset, err := f.log.Append(limited, &recordv1.Record{
 		Id: "snapshot-" + now.UTC().Format(time.RFC3339Nano),
 		Body: &recordv1.Record_Snapshot{
 			Snapshot: f.state.Since(0),
--- a/internal/adapter/mtgate/gate.go
+++ b/internal/adapter/mtgate/gate.go
@@ -28,42 +28,42 @@
 // notReadyRetry is how long a caller is told to wait for an instance whose state is not complete.
 const notReadyRetry = time.Second
 
-// Rules gives the rules in force.
-type Rules interface {
+// rules gives the rules in force.
+type rules interface {
 	Rules() *mtrules.Rules
 	IsReady() bool
 	Age(now time.Time) time.Duration
 }
 
-// Admission keeps the limits.
-type Admission interface {
+// admission keeps the limits.
+type admission interface {
 	Admit(call *mtcall.Call, now time.Time) (time.Duration, bool)
 	Release(call *mtcall.Call)
 }
 
-// Guard keeps the keys of calls that run at most once.
-type Guard interface {
+// guard keeps the keys of calls that run at most once.
+type guard interface {
 	Begin(ctx context.Context, call *mtcall.Call, body []byte, now time.Time) error
 	End(call *mtcall.Call, outcome mtoutcome.Outcome)
 }
 
-// Sender sends calls to endpoints.
-type Sender interface {
+// sender sends calls to endpoints.
+type sender interface {
 	Send(ctx context.Context, call *mtcall.Call, request *http.Request, body *mtbody.Body) (*mtanswer.Answer, error)
 }
 
-// Meter counts calls.
-type Meter interface {
+// meter counts calls.
+type meter interface {
 	Call(service string, outcome mtoutcome.Outcome, reason string, took time.Duration)
 }
 
 // Gate is the HTTP handler for calls.
 type Gate struct {
-	rules     Rules
-	admission Admission
-	guard     Guard
-	sender    Sender
-	meter     Meter
+	rules     rules
+	admission admission
+	guard     guard
+	sender    sender
+	meter     meter
 	logger    *logrus.Logger
 	reader    mtreader.Reader
 	writer    *mtwriter.Writer
@@ -89,7 +89,7 @@
 }
 
 // NewGate returns a gate that uses the given steps.
-func NewGate(rules Rules, admission Admission, guard Guard, sender Sender, meter Meter, logger *logrus.Logger, options ...Option) *Gate {
+func NewGate(rules rules, admission admission, guard guard, sender sender, meter meter, logger *logrus.Logger, options ...Option) *Gate {
 	gate := &Gate{
 		rules:     rules,
 		admission: admission,
--- a/internal/adapter/mtgossip/members.go
+++ b/internal/adapter/mtgossip/members.go
@@ -37,8 +37,8 @@
 	Gone = namespace.NewType("gone")
 )
 
-// State is what peers relay to each other.
-type State interface {
+// state is what peers relay to each other.
+type state interface {
 	Applied() uint64
 	Since(offset uint64) *recordv1.Snapshot
 	Merge(snapshot *recordv1.Snapshot)
@@ -53,13 +53,13 @@
 	random *rand.Rand
 	seeds  []string
 	secret string
-	state  State
+	state  state
 	client *http.Client
 	logger *logrus.Logger
 }
 
 // NewMembers returns the members as an instance sees them that knows only itself and its seeds.
-func NewMembers(view *mtmember.View, state State, seeds []string, secret string, logger *logrus.Logger) *Members {
+func NewMembers(view *mtmember.View, state state, seeds []string, secret string, logger *logrus.Logger) *Members {
 	return &Members{
 		view:   view,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -213,23 +213,36 @@
 
 // Settle asks the home of a ticket what became of a key.
 func (m *Members) Settle(ctx context.Context, ticket mtticket.Ticket, team, key string) (mtoutcome.Outcome, error) {
-	address := m.home(ticket)
-	if address == "" {
-		return mtoutcome.Unknown, Gone.New("no instance %s of that incarnation is known", ticket.Instance)
-	}
-	answer, err := m.peer(address).Settle(m.authorized(ctx), &peerv1.SettleRequest{
+	return m.ask(ctx, ticket.Instance, ticket.Incarnation, &peerv1.SettleRequest{
 		Team: team,
 		Key:  key,
 	})
+}
+
+// Recall asks the holder of a claim what became of the key.
+func (m *Members) Recall(ctx context.Context, claim *peerv1.Claim) (mtoutcome.Outcome, error) {
+	return m.ask(ctx, claim.GetInstance(), claim.GetIncarnation(), &peerv1.SettleRequest{
+		Team:        claim.GetTeam(),
+		Key:         claim.GetKey(),
+		Incarnation: claim.GetIncarnation(),
+	})
+}
+
+func (m *Members) ask(ctx context.Context, instance string, incarnation uint64, question *peerv1.SettleRequest) (mtoutcome.Outcome, error) {
+	address := m.home(instance, incarnation)
+	if address == "" {
+		return mtoutcome.Unknown, Gone.New("no instance %s of that incarnation is known", instance)
+	}
+	answer, err := m.peer(address).Settle(m.authorized(ctx), question)
 	if err != nil {
-		return mtoutcome.Unknown, Gone.Wrap(err, "instance %s did not answer", ticket.Instance)
+		return mtoutcome.Unknown, Gone.Wrap(err, "instance %s did not answer", instance)
 	}
 	return mtoutcome.Outcome(answer.GetOutcome()), nil
 }
 
-func (m *Members) home(ticket mtticket.Ticket) string {
+func (m *Members) home(instance string, incarnation uint64) string {
 	for _, row := range m.Known() {
-		if row.GetInstance() == ticket.Instance && row.GetIncarnation() == ticket.Incarnation {
+		if row.GetInstance() == instance && row.GetIncarnation() == incarnation {
 			return row.GetControl()
 		}
 	}
--- /dev/null
+++ b/internal/adapter/mtlogclient/doc.go
@@ -0,0 +1,2 @@
+// Package mtlogclient speaks to the platform's log.
+package mtlogclient
--- a/internal/adapter/mtpeer/server.go
+++ b/internal/adapter/mtpeer/server.go
@@ -18,31 +18,32 @@
 // bodyLimit bounds a message of a peer in bytes.
 const bodyLimit = 1 << 20
 
-// Members takes part in the gossip.
-type Members interface {
+// members takes part in the gossip.
+type members interface {
 	Receive(message *peerv1.Gossip, now time.Time) *peerv1.Gossip
 }
 
-// State relays what this instance has applied.
-type State interface {
+// state relays what this instance has applied.
+type state interface {
 	Since(offset uint64) *recordv1.Snapshot
 }
 
-// Keys answers questions about the keys of this incarnation.
-type Keys interface {
+// keys answers questions about the keys of this incarnation.
+type keys interface {
 	IsHome(ticket mtticket.Ticket) bool
 	Settle(team, key string, ticket mtticket.Ticket, now time.Time) (mtoutcome.Outcome, error)
+	Lookup(team, key string, incarnation uint64) mtoutcome.Outcome
 }
 
 // Server implements the PeerService.
 type Server struct {
-	members Members
-	state   State
-	keys    Keys
+	members members
+	state   state
+	keys    keys
 }
 
 // NewServer returns a server over the tables of this instance.
-func NewServer(members Members, state State, keys Keys) *Server {
+func NewServer(members members, state state, keys keys) *Server {
 	return &Server{
 		members: members,
 		state:   state,
@@ -78,6 +79,11 @@
 
 // Settle returns the outcome of a key of this incarnation and closes a key that was never seen.
 func (s *Server) Settle(_ context.Context, request *peerv1.SettleRequest) (*peerv1.SettleResponse, error) {
+	if incarnation := request.GetIncarnation(); incarnation != 0 {
+		return &peerv1.SettleResponse{
+			Outcome: string(s.keys.Lookup(request.GetTeam(), request.GetKey(), incarnation)),
+		}, nil
+	}
 	ticket, found, err := mtticket.Parse(request.GetKey())
 	if err != nil || !found {
 		return nil, twirp.InvalidArgumentError("key", "expected a ticket and a suffix")
--- a/internal/adapter/mtresolver/resolver.go
+++ b/internal/adapter/mtresolver/resolver.go
@@ -16,34 +16,34 @@
 	entryv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/entry/v1"
 )
 
-// Rules gives the rules in force.
-type Rules interface {
+// rules gives the rules in force.
+type rules interface {
 	Rules() *mtrules.Rules
 	IsReady() bool
 }
 
-// Crews gives the entry instances that carry a service.
-type Crews interface {
+// crews gives the entry instances that carry a service.
+type crews interface {
 	Crew(service string, now time.Time) []mtcrew.Place
 	Row(instance string) *peerv1.Row
 }
 
-// Keys gives the life of tickets.
-type Keys interface {
+// keys gives the life of tickets.
+type keys interface {
 	Expiry(now time.Time) time.Time
 }
 
 // Resolver implements the ResolveService.
 type Resolver struct {
-	rules  Rules
-	crews  Crews
-	keys   Keys
+	rules  rules
+	crews  crews
+	keys   keys
 	centre string
 	hold   time.Duration
 }
 
 // NewResolver returns a resolver whose answers may be held for a time; centre is that of callers that name none.
-func NewResolver(rules Rules, crews Crews, keys Keys, centre string, hold time.Duration) *Resolver {
+func NewResolver(rules rules, crews crews, keys keys, centre string, hold time.Duration) *Resolver {
 	return &Resolver{
 		rules:  rules,
 		crews:  crews,
--- a/internal/adapter/mtsender/sender.go
+++ b/internal/adapter/mtsender/sender.go
@@ -30,21 +30,21 @@
 	hedgeDefault  = 100 * time.Millisecond
 )
 
-// Router finds endpoints.
-type Router interface {
+// router finds endpoints.
+type router interface {
 	Acquire(ctx context.Context, call *mtcall.Call, avoid string) (*mtrouter.Lease, error)
 	Latency(service string) time.Duration
 }
 
-// Connector gives connections to endpoints.
-type Connector interface {
+// connector gives connections to endpoints.
+type connector interface {
 	Get(ctx context.Context, target mtpool.Target, now time.Time) (*mtpool.Conn, error)
 }
 
 // Sender sends calls; it is safe for use by many goroutines.
 type Sender struct {
-	router    Router
-	connector Connector
+	router    router
+	connector connector
 	members   func() int
 	mu        sync.Mutex
 	budgets   map[string]*mtbudget.Budget
@@ -69,7 +69,7 @@
 }
 
 // NewSender returns a sender that takes endpoints from a router and connections from a connector.
-func NewSender(router Router, connector Connector, options ...Option) *Sender {
+func NewSender(router router, connector connector, options ...Option) *Sender {
 	sender := &Sender{
 		router:    router,
 		connector: connector,
--- a/internal/core/mtdeadline/deadline.go
+++ b/internal/core/mtdeadline/deadline.go
@@ -1,7 +1,6 @@
 package mtdeadline
 
 import (
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +23,17 @@
 	Malformed = namespace.NewType("malformed")
 )
 
+// reader gives the values of headers.
+type reader interface {
+	Get(name string) string
+}
+
+// readWriter changes the values of headers.
+type readWriter interface {
+	reader
+	Set(name, value string)
+}
+
 var units = map[byte]time.Duration{
 	'H': time.Hour,
 	'M': time.Minute,
@@ -34,7 +44,7 @@
 }
 
 // Read returns the time left that the headers state; found is false when they state none.
-func Read(header http.Header) (left time.Duration, found bool, err error) {
+func Read(header reader) (left time.Duration, found bool, err error) {
 	if text := header.Get(GRPC); text != "" {
 		left, err = parseGRPC(text)
 		return left, true, err
@@ -69,7 +79,7 @@
 }
 
 // Write states the time left in the headers that the call came with, and in Connect's when it came with none.
-func Write(header http.Header, left time.Duration) {
+func Write(header readWriter, left time.Duration) {
 	left = max(left, time.Millisecond)
 	milliseconds := strconv.FormatInt(left.Milliseconds(), 10)
 	if strings.HasPrefix(header.Get("Content-Type"), "application/grpc") {
--- a/internal/core/mtonce/table.go
+++ b/internal/core/mtonce/table.go
@@ -203,6 +203,18 @@
 	return mtoutcome.NotRun, nil
 }
 
+// Lookup returns the outcome of a key, which is unknown when the key is not in the table.
+func (t *Table) Lookup(team, key string) mtoutcome.Outcome {
+	found := t.keys[identity{
+		team: team,
+		key:  key,
+	}]
+	if found == nil {
+		return mtoutcome.Unknown
+	}
+	return found.outcome
+}
+
 // Sweep forgets keys that can't be dispatched any more.
 func (t *Table) Sweep(now time.Time) {
 	if len(t.buckets) == 0 {
--- a/internal/node/mtcrews/crews.go
+++ b/internal/node/mtcrews/crews.go
@@ -12,25 +12,25 @@
 // perCentre is the number of crew members in each data centre.
 const perCentre = 1
 
-// Rules gives the marks.
-type Rules interface {
+// rules gives the marks.
+type rules interface {
 	Rules() *mtrules.Rules
 }
 
-// Members is the view of all entry instances.
-type Members interface {
+// members is the view of all entry instances.
+type members interface {
 	Live(now time.Time, states ...string) []*peerv1.Row
 	Known() []*peerv1.Row
 }
 
 // Crews answers who carries a service; it is safe for use by many goroutines.
 type Crews struct {
-	rules   Rules
-	members Members
+	rules   rules
+	members members
 }
 
 // NewCrews returns the crews that follow from rules and members.
-func NewCrews(rules Rules, members Members) *Crews {
+func NewCrews(rules rules, members members) *Crews {
 	return &Crews{
 		rules:   rules,
 		members: members,
--- a/internal/node/mtkeys/keys.go
+++ b/internal/node/mtkeys/keys.go
@@ -61,6 +61,33 @@
 	return k.table.Settle(team, key, ticket.Expiry, k.steady(now))
 }
 
+// BeginClaimed takes a key that this instance has claimed on the log; an error means that it must not be dispatched.
+func (k *Keys) BeginClaimed(team, key string, sum [sha256.Size]byte, now time.Time) (mtoutcome.Outcome, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now = k.steady(now)
+	return k.table.Begin(team, key, sum, now.Add(ticketLife), now)
+}
+
+// Forgo closes a key whose claim was given up, so that no later question finds it unknown.
+func (k *Keys) Forgo(team, key string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now = k.steady(now)
+	// A full table leaves the key unknown, which is true as well.
+	_, _ = k.table.Settle(team, key, now.Add(ticketLife), now)
+}
+
+// Lookup returns the outcome of a key that an incarnation claimed on the log.
+func (k *Keys) Lookup(team, key string, incarnation uint64) mtoutcome.Outcome {
+	if incarnation != k.incarnation {
+		return mtoutcome.Unknown
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Lookup(team, key)
+}
+
 // steady returns the time since the start on the monotonic clock as wall time.
 //
 // A wall clock that steps back must not make an expired ticket valid again, because its keys are forgotten.
--- a/internal/node/mtnode/node.go
+++ b/internal/node/mtnode/node.go
@@ -24,6 +24,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/mangotack/mangotack/internal/adapter/mtclaimer"
 	"github.com/mangotack/mangotack/internal/adapter/mtcontrol"
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	"github.com/mangotack/mangotack/internal/adapter/mtfeed"
@@ -31,6 +32,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtgossip"
 	"github.com/mangotack/mangotack/internal/adapter/mtguard"
 	"github.com/mangotack/mangotack/internal/adapter/mtlist"
+	"github.com/mangotack/mangotack/internal/adapter/mtlogclient"
 	"github.com/mangotack/mangotack/internal/adapter/mtmeter"
 	"github.com/mangotack/mangotack/internal/adapter/mtpeer"
 	"github.com/mangotack/mangotack/internal/adapter/mtpool"
@@ -57,6 +59,13 @@
 	refreshPeriod = time.Second
 	tickPeriod    = 5 * time.Millisecond
 	sweepPeriod   = time.Second
+	// claimPeriod is the time between two batches of claims of one instance in a small fleet, and claimSharers the number
+	// of instances that share the appends of one such period.
+	claimPeriod  = 50 * time.Millisecond
+	claimSharers = 10
+	// recordStream and claimStream are the streams on the platform's log.
+	recordStream = "mangotack"
+	claimStream  = "mangotack-claims"
 	// drainMargin is added to the time for which callers hold an answer, for the gossip to spread the leave.
 	drainMargin = 2 * time.Second
 	// finishTimeout bounds the wait for calls in flight at the end.
@@ -75,19 +84,25 @@
 	router    *mtrouter.Router
 	pool      *mtpool.Pool
 	list      *mtlist.List
+	log       *mtlogclient.Client
 	feed      *mtfeed.Feed
+	claimer   *mtclaimer.Claimer
 	members   *mtgossip.Members
 	crews     *mtcrews.Crews
 	meter     *mtmeter.Meter
 	calls     *mtserver.Server
 	control   *mtserver.Server
+	// claimTicks counts the periods of claims.
+	claimTicks int
 	// refreshing is taken before any lock of a table.
 	refreshing sync.Mutex
 }
 
 // NewNode builds an instance from complete settings and opens its listeners.
 func NewNode(settings *settingsv1.Settings, logger *logrus.Logger, now time.Time) (*Node, error) {
-	incarnation := rand.Uint64()
+	incarnation := max(1, rand.Uint64())
+	log := mtlogclient.NewClient(settings.GetLog(), recordStream)
+	claims := mtlogclient.NewClient(settings.GetLog(), claimStream)
 	state := mtstate.NewState()
 	local, _, err := net.SplitHostPort(settings.GetCalls())
 	if err != nil {
@@ -100,11 +115,13 @@
 		admission: mtadmission.NewAdmission(),
 		keys: mtkeys.NewKeys(settings.GetInstance(), incarnation, now,
 			mtonce.WithLimits(int(settings.GetKeys()), int(settings.GetKeys())/teamPart)),
-		router: mtrouter.NewRouter(settings.GetInstance(), settings.GetCentre()),
-		pool:   mtpool.NewPool(mtpool.DialFrom(net.ParseIP(local))),
-		list:   mtlist.NewList(settings.GetList(), logger),
-		feed:   mtfeed.NewFeed(settings.GetLog(), state, logger),
-		meter:  mtmeter.NewMeter(),
+		router:  mtrouter.NewRouter(settings.GetInstance(), settings.GetCentre()),
+		pool:    mtpool.NewPool(mtpool.DialFrom(net.ParseIP(local))),
+		list:    mtlist.NewList(settings.GetList(), logger),
+		log:     log,
+		feed:    mtfeed.NewFeed(log, state, logger),
+		claimer: mtclaimer.NewClaimer(claims, settings.GetInstance(), incarnation, int(settings.GetKeys())),
+		meter:   mtmeter.NewMeter(),
 	}
 	view := mtmember.NewView(&peerv1.Row{
 		Instance:    settings.GetInstance(),
@@ -145,7 +162,7 @@
 	sender := mtsender.NewSender(n.router, n.pool,
 		mtsender.WithMembers(n.memberCount),
 		mtsender.WithExtra(n.meter.Extra))
-	gate := mtgate.NewGate(n.state, n.admission, mtguard.NewGuard(n.keys, n.members), sender, n.meter, n.logger,
+	gate := mtgate.NewGate(n.state, n.admission, mtguard.NewGuard(n.keys, n.members, n.claimer), sender, n.meter, n.logger,
 		mtgate.WithStale(n.settings.GetStale().AsDuration()),
 		mtgate.WithBodyLimit(int(n.settings.GetBody())))
 	mux := http.NewServeMux()
@@ -158,7 +175,7 @@
 func (n *Node) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(entryv1connect.NewOperatorServiceHandler(
-		mtcontrol.NewControl(n.settings.GetInstance(), n.settings.GetOperators(), n.state, n.feed, n.members, n, n.logger)))
+		mtcontrol.NewControl(n.settings.GetInstance(), n.settings.GetOperators(), n.state, n.log, n.members, n, n.logger)))
 	mux.Handle(peerv1.PeerServicePathPrefix, mtpeer.NewServer(n.members, n.state, n.keys).Handler(n.settings.GetPeer()))
 	mux.HandleFunc("/metrics", func(to http.ResponseWriter, _ *http.Request) {
 		n.meter.Write(to)
@@ -207,6 +224,7 @@
 // schedule hands the periodic work to the workers.
 func (n *Node) schedule(ctx context.Context, pool *mtworker.Pool) {
 	go n.feed.Run(ctx)
+	go n.claimer.Run(ctx)
 	go n.followLog(ctx)
 	pool.Every(ctx, gossipPeriod, n.gossip)
 	pool.Every(ctx, listPeriod, func(ctx context.Context, _ time.Time) {
@@ -219,6 +237,7 @@
 	pool.Every(ctx, tickPeriod, func(_ context.Context, now time.Time) {
 		n.router.Tick(now)
 	})
+	pool.Every(ctx, claimPeriod, n.flushClaims)
 	pool.Every(ctx, sweepPeriod, func(ctx context.Context, now time.Time) {
 		n.keys.Sweep(now)
 		n.pool.Sweep(now)
--- a/internal/node/mtnode/tasks.go
+++ b/internal/node/mtnode/tasks.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// flushClaims appends the claims that wait; in a larger fleet each instance appends less often, so that all together stay
+// at some two hundred appends a second.
+func (n *Node) flushClaims(ctx context.Context, _ time.Time) {
+	n.claimTicks++
+	if n.claimTicks%(1+n.memberCount()/claimSharers) == 0 {
+		n.claimer.Flush(ctx)
+	}
+}
+
 // rank returns the place of this instance among the live ones.
 func (n *Node) rank(now time.Time) int {
 	for i, row := range n.members.Live(now, mtmember.Alive) {
--- a/internal/testkit/mtharness/harness.go
+++ b/internal/testkit/mtharness/harness.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtauth"
+	"github.com/mangotack/mangotack/internal/adapter/mtclaimer"
 	"github.com/mangotack/mangotack/internal/adapter/mtgate"
 	"github.com/mangotack/mangotack/internal/adapter/mtguard"
 	"github.com/mangotack/mangotack/internal/adapter/mtmeter"
@@ -24,6 +25,7 @@
 	"github.com/mangotack/mangotack/internal/core/mtonce"
 	"github.com/mangotack/mangotack/internal/core/mtrules"
 	"github.com/mangotack/mangotack/internal/core/mtticket"
+	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
 	"github.com/mangotack/mangotack/internal/node/mtadmission"
 	"github.com/mangotack/mangotack/internal/node/mtkeys"
 	"github.com/mangotack/mangotack/internal/node/mtrouter"
@@ -51,6 +53,7 @@
 	Network *mtmemory.Network
 	Entries map[string]*Entry
 	Parted  map[string]bool
+	Claims  *Stream
 	// Service is the record of the service; a test may change it before it adds entry instances.
 	Service   *recordv1.Service
 	endpoints []*platformv1.Instance
@@ -66,6 +69,7 @@
 	Pool    *mtpool.Pool
 	State   *mtstate.State
 	Parts   *mtadmission.Admission
+	Claimer *mtclaimer.Claimer
 	harness *Harness
 	ticket  mtticket.Ticket
 	server  *http.Server
@@ -78,6 +82,7 @@
 		Network: mtmemory.NewNetwork(),
 		Entries: map[string]*Entry{},
 		Parted:  map[string]bool{},
+		Claims:  NewStream(),
 		Service: &recordv1.Service{
 			Name:        Service,
 			Protocol:    "http1",
@@ -149,6 +154,7 @@
 		Pool:    mtpool.NewPool(h.Network.Dial),
 		State:   mtstate.NewState(),
 		Parts:   mtadmission.NewAdmission(),
+		Claimer: mtclaimer.NewClaimer(h.Claims, name, h.started, 1000),
 		harness: h,
 	}
 	entry.ticket = mtticket.Ticket{
@@ -169,11 +175,12 @@
 	e.Refresh(now)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	gate := mtgate.NewGate(e.State, e.Parts, mtguard.NewGuard(e.Keys, e), mtsender.NewSender(e.Router, e.Pool), mtmeter.NewMeter(), logger,
+	gate := mtgate.NewGate(e.State, e.Parts, mtguard.NewGuard(e.Keys, e, e.Claimer), mtsender.NewSender(e.Router, e.Pool), mtmeter.NewMeter(), logger,
 		mtgate.WithStale(time.Hour))
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	go e.tick(ctx)
+	go e.Claimer.Run(ctx)
 	e.server = e.harness.Serve(e.Name, gate)
 }
 
@@ -200,10 +207,30 @@
 		case now := <-ticker.C:
 			e.Router.Tick(now)
 			e.Pool.Sweep(now)
+			e.Claimer.Flush(ctx)
 		}
 	}
 }
 
+// Mark marks an endpoint as leaving.
+func (e *Entry) Mark(endpoint string) {
+	e.State.Merge(&recordv1.Snapshot{
+		Versions: []*recordv1.Version{{
+			Number: 1,
+			Record: &recordv1.Record{
+				Id: "mark-" + endpoint,
+				Body: &recordv1.Record_Mark{
+					Mark: &recordv1.Mark{
+						Instance: endpoint,
+						Leaving:  true,
+					},
+				},
+			},
+		}},
+	})
+	e.Refresh(time.Now())
+}
+
 // Stop ends the entry instance at once.
 func (e *Entry) Stop() {
 	e.stop()
@@ -229,6 +256,16 @@
 	return outcome, nil
 }
 
+// Recall asks the holder of a claim, unless it is parted from this instance.
+func (e *Entry) Recall(ctx context.Context, claim *peerv1.Claim) (mtoutcome.Outcome, error) {
+	home := e.harness.Entries[claim.GetInstance()]
+	if e.harness.Parted[claim.GetInstance()] {
+		<-ctx.Done()
+		return mtoutcome.Unknown, ctx.Err()
+	}
+	return home.Keys.Lookup(claim.GetTeam(), claim.GetKey(), claim.GetIncarnation()), nil
+}
+
 func (h *Harness) versions() []*recordv1.Version {
 	contract := &recordv1.Contract{Customer: "acme"}
 	var approvals []*recordv1.Approval
