--- a/internal/adapter/mtgate/chain_test.go
+++ b/internal/adapter/mtgate/chain_test.go
@@ -93,3 +93,18 @@
 		require.Greater(t, cost, 10.0)
 	})
 }
+
+func TestRetryIsSpentOnceDownAChain(t *testing.T) {
+	one := &chain{}
+	handled(t, mtrecord.HTTP1, 1, one.ServeHTTP, func(t *testing.T, h *mtharness.Harness) {
+		for range 100 {
+			h.Call(t.Context(), "entry-1", mtharness.Idempotent, "7")
+		}
+		one.runs.Store(0)
+		h.Call(t.Context(), "entry-1", mtharness.Idempotent, "7", "Fail", "1", mtcall.SpentHeader, "1")
+		require.EqualValues(t, 1, one.runs.Load(), "a retry was spent above")
+		one.runs.Store(0)
+		h.Call(t.Context(), "entry-1", mtharness.Idempotent, "7", "Fail", "1")
+		require.EqualValues(t, 3, one.runs.Load())
+	})
+}
--- a/internal/node/mtkeys/keys.go
+++ b/internal/node/mtkeys/keys.go
@@ -12,9 +12,9 @@
 
 const (
 	// ticketLife is how long a key may be used after its ticket was given.
-	ticketLife = 5 * time.Minute
+	ticketLife = 2 * time.Minute
 	// clockMargin is by how much the clock of the instance that gives a ticket may be ahead of its home's.
-	clockMargin = 30 * time.Second
+	clockMargin = 15 * time.Second
 )
 
 // Keys is the at-most-once table of one incarnation; it is safe for use by many goroutines.
--- /dev/null
+++ b/internal/node/mtnode/leave_test.go
@@ -0,0 +1,120 @@
+package mtnode_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/mangotack/mangotack/internal/core/mtcall"
+	"github.com/mangotack/mangotack/internal/core/mtrecord"
+	"github.com/mangotack/mangotack/internal/core/mtrules"
+	"github.com/mangotack/mangotack/internal/testkit/mtsite"
+	recordv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/record/v1"
+	"github.com/mangotack/mangotack/pkg/mtcaller"
+)
+
+const depositService = "test.v1.DepositService"
+
+// deposits is an endpoint that counts the runs of each key.
+type deposits struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (d *deposits) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	d.mu.Lock()
+	d.runs[request.Header.Get(mtcall.KeyHeader)]++
+	d.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	_, _ = to.Write(body)
+}
+
+// Callers call through an instance that leaves until it is gone, some of them with an answer of Resolve that they hold to
+// the last moment. No call may fail and none may run twice.
+func TestLeavingInstanceCutsOffNothing(t *testing.T) {
+	site := mtsite.NewSite(t)
+	endpoint := &deposits{runs: map[string]int{}}
+	server := httptest.NewServer(endpoint)
+	t.Cleanup(server.Close)
+	site.AddEndpoint("deposit-1", depositService, strings.TrimPrefix(server.URL, "http://"))
+	site.AddNode("entry-1")
+	site.AddNode("entry-2")
+	site.Publish(depositRecords()...)
+	entries := []string{site.Nodes[0].Calls, site.Nodes[1].Calls}
+	site.Eventually(func() bool {
+		_, err := callDeposit(mtcaller.NewClient(teamToken, entries))
+		return err == nil
+	}, "a first answer")
+
+	var calls, failed atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for range 8 {
+		client := mtcaller.NewClient(teamToken, entries)
+		group.Go(func() {
+			for ctx.Err() == nil {
+				calls.Add(1)
+				if answer, err := callDeposit(client); err != nil || answer.Status != http.StatusOK {
+					if failed.Add(1) < 5 {
+						t.Logf("%+v %v", answer, err)
+					}
+				}
+			}
+		})
+	}
+	site.Nodes[1].Stop()
+	cancel()
+	group.Wait()
+	t.Logf("%d calls while an instance left", calls.Load())
+	require.Positive(t, calls.Load())
+	require.Zero(t, failed.Load())
+	for key, runs := range endpoint.runs {
+		require.Equal(t, 1, runs, "key %s", key)
+	}
+}
+
+func callDeposit(client *mtcaller.Client) (*mtcaller.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return client.Do(ctx, mtcaller.Call{
+		Service: depositService,
+		Method:  "Charge",
+		Body:    []byte("7"),
+	})
+}
+
+func depositRecords() []*recordv1.Record {
+	return []*recordv1.Record{
+		{Body: &recordv1.Record_Service{Service: &recordv1.Service{
+			Name:        depositService,
+			Owners:      []string{mtrules.HashToken(mtsite.OwnerToken)},
+			Protocol:    mtrecord.HTTP1,
+			Slots:       20,
+			Connections: 100,
+			Timeout:     durationpb.New(10 * time.Second),
+		}}},
+		{Body: &recordv1.Record_Contract{Contract: &recordv1.Contract{
+			Customer: "acme",
+			Teams: []*recordv1.Team{{
+				Name:     "hosts",
+				Tokens:   []string{mtrules.HashToken(teamToken)},
+				Services: []string{depositService},
+			}},
+		}}},
+		{Body: &recordv1.Record_Approval{Approval: &recordv1.Approval{
+			Service:  depositService,
+			Customer: "acme",
+			Team:     "hosts",
+		}}},
+	}
+}
--- a/internal/testkit/mtsite/site.go
+++ b/internal/testkit/mtsite/site.go
@@ -113,7 +113,7 @@
 		Hold:      durationpb.New(100 * time.Millisecond),
 		Stale:     durationpb.New(time.Minute),
 		Body:      1 << 16,
-		Keys:      1000,
+		Keys:      100_000,
 		Retention: durationpb.New(time.Hour),
 	}
 	for _, other := range s.Nodes {
