Control cost of idle fleets, measured; long instance lists are read less often

Cause: the instance list is given only whole; at 850 endpoints reading it each second would cost some 50 KB a second, five times the budget of a daemon. Change: the time between two readings grows with the list, to at most 2,000 bytes a second; an instance announces at most 32 limits; gossip counts its bytes; fleets of 6 to 48 real processes are measured idle.

--- a/cmd/mangotack-measure/main.go
+++ b/cmd/mangotack-measure/main.go
@@ -27,6 +27,11 @@
 		return err
 	}
 	figures = append(figures, mtmeasure.Keys()...)
+	fleet, err := mtmeasure.Fleet(context.Background(), "bin")
+	if err != nil {
+		return err
+	}
+	figures = append(figures, fleet...)
 	lines, err := os.Create("bin/measure.jsonl")
 	if err != nil {
 		return err
--- a/internal/adapter/mtgossip/members.go
+++ b/internal/adapter/mtgossip/members.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -56,6 +57,8 @@
 	state  state
 	client *http.Client
 	logger *logrus.Logger
+	// bytes counts the messages of gossip, sent and received.
+	bytes atomic.Int64
 }
 
 // NewMembers returns the members as an instance sees them that knows only itself and its seeds.
@@ -82,6 +85,11 @@
 	m.seeds = seeds
 }
 
+// Bytes returns the size of all messages of gossip so far, sent and received.
+func (m *Members) Bytes() int64 {
+	return m.bytes.Load()
+}
+
 // Fill changes the own row.
 func (m *Members) Fill(change func(self *peerv1.Row)) {
 	m.mu.Lock()
@@ -186,10 +194,13 @@
 func (m *Members) message() *peerv1.Gossip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.CloneOf(m.view.Message(rowLimit, beatLimit, m.random))
+	message := proto.CloneOf(m.view.Message(rowLimit, beatLimit, m.random))
+	m.bytes.Add(int64(proto.Size(message)))
+	return message
 }
 
 func (m *Members) merge(message *peerv1.Gossip, now time.Time) {
+	m.bytes.Add(int64(proto.Size(message)))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, name := range m.view.Merge(message, now) {
--- a/internal/adapter/mtlist/list.go
+++ b/internal/adapter/mtlist/list.go
@@ -8,13 +8,20 @@
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	platformv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1"
 	"github.com/mangotack/mangotack/pkg/gen/mangotack/platform/v1/platformv1connect"
 )
 
-const listTimeout = 3 * time.Second
+const (
+	listTimeout = 3 * time.Second
+	// shortestPeriod is the time between two readings of a short list, and bytesPerSecond bounds what readings of a long
+	// one cost.
+	shortestPeriod = time.Second
+	bytesPerSecond = 2000
+)
 
 // List is the last instance list that was read; it is safe for use by many goroutines.
 type List struct {
@@ -23,6 +30,8 @@
 	mu     sync.Mutex
 	lines  []*platformv1.Instance
 	lost   bool
+	// due is when the list is read again.
+	due time.Time
 }
 
 // NewList returns an empty list that reads from an IP number and port.
@@ -33,8 +42,16 @@
 	}
 }
 
-// Refresh reads the list; when that fails, the last one stays.
-func (l *List) Refresh(ctx context.Context) {
+// Refresh reads the list if it is due; when that fails, the last one stays.
+//
+// The platform gives only the whole list, so a long one is read less often; marks on the log need no list.
+func (l *List) Refresh(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	due := l.due
+	l.mu.Unlock()
+	if now.Before(due) {
+		return
+	}
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	answer, err := l.client.List(limited, connect.NewRequest(&platformv1.ListRequest{}))
@@ -49,6 +66,11 @@
 		mtevent.ListBack.Log(l.logger, logrus.Fields{})
 	}
 	l.lines = answer.Msg.GetInstances()
+	l.due = now.Add(period(proto.Size(answer.Msg)))
+}
+
+func period(size int) time.Duration {
+	return max(shortestPeriod, time.Duration(size)*time.Second/bytesPerSecond) - shortestPeriod/2
 }
 
 func (l *List) reportLost(ctx context.Context, err error) {
--- a/internal/node/mtadmission/admission.go
+++ b/internal/node/mtadmission/admission.go
@@ -1,6 +1,8 @@
 package mtadmission
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,9 @@
 // lease is how long the parts may be used after they were last adjusted. The others take them over after the same silence.
 const lease = 3 * time.Second
 
+// shareLimit bounds the limits that one instance announces.
+const shareLimit = 32
+
 // claimAfter is how long calls are counted before their number tells the demand.
 const claimAfter = 100 * time.Millisecond
 
@@ -142,7 +147,18 @@
 			Part:   float32(part),
 		})
 	}
-	return shares
+	return largest(shares)
+}
+
+// largest bounds what is announced; a limit that is left out counts as idle at the others.
+func largest(shares []*peerv1.Share) []*peerv1.Share {
+	slices.SortFunc(shares, func(a, b *peerv1.Share) int {
+		if order := cmp.Compare(b.GetDemand(), a.GetDemand()); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.GetKey(), b.GetKey())
+	})
+	return shares[:min(len(shares), shareLimit)]
 }
 
 // announcements lists what the rows say per key; an instance that is silent on a key counts as idle.
--- a/internal/node/mtnode/node.go
+++ b/internal/node/mtnode/node.go
@@ -247,8 +247,8 @@
 	go n.claimer.Run(ctx)
 	go n.followLog(ctx)
 	pool.Every(ctx, gossipPeriod, n.gossip)
-	pool.Every(ctx, listPeriod, func(ctx context.Context, _ time.Time) {
-		n.list.Refresh(ctx)
+	pool.Every(ctx, listPeriod, func(ctx context.Context, now time.Time) {
+		n.list.Refresh(ctx, now)
 		n.members.SetSeeds(n.seeds())
 	})
 	pool.Every(ctx, refreshPeriod, func(_ context.Context, now time.Time) {
--- a/internal/node/mtnode/tasks.go
+++ b/internal/node/mtnode/tasks.go
@@ -138,6 +138,9 @@
 	n.meter.Gauge("mangotack_waiting_calls", func() float64 {
 		return float64(n.router.Waiting())
 	})
+	n.meter.Gauge("mangotack_gossip_bytes_total", func() float64 {
+		return float64(n.members.Bytes())
+	})
 	n.meter.Gauge("mangotack_known_instances", func() float64 {
 		return float64(n.memberCount())
 	})
--- a/internal/standin/mtmeasure/site.go
+++ b/internal/standin/mtmeasure/site.go
@@ -154,14 +154,15 @@
 		}}},
 	}
 	for _, record := range records {
-		if err := publishOne(ctx, record); err != nil {
+		if err := publishAt(ctx, control, record); err != nil {
 			return err
 		}
 	}
 	return waitForCall(ctx)
 }
 
-func publishOne(ctx context.Context, record *recordv1.Record) error {
+// publishAt publishes a record through the control address of an instance that may still be starting.
+func publishAt(ctx context.Context, control string, record *recordv1.Record) error {
 	secret := operator
 	if record.GetApproval() != nil {
 		secret = owner
