--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 
 measure: build
 	bin/mangotack-measure
+
+# docs rewrites the generated pages and the output of the examples in all pages.
+docs:
+	go test ./docs -rewrite
--- a/internal/core/mtrecord/check.go
+++ b/internal/core/mtrecord/check.go
@@ -66,9 +66,16 @@
 	}
 }
 
+// hash never quotes the value, because it can be the token itself.
+func (c *checker) hash(pointer, value string) {
+	if !hashPattern.MatchString(value) {
+		c.add(pointer, "a text of "+strconv.Itoa(len(value))+" bytes", hashExpected)
+	}
+}
+
 func (c *checker) unique(pointer, value string, seen map[string]bool) {
 	if seen[value] {
-		c.add(pointer, strconv.Quote(value)+" a second time", "a value that differs from the others")
+		c.add(pointer, "the same value a second time", "a value that differs from the others")
 	}
 	seen[value] = true
 }
@@ -85,7 +92,7 @@
 		c.limit(at+"/limit", team.GetLimit())
 		for j, token := range team.GetTokens() {
 			where := at + "/tokens/" + strconv.Itoa(j)
-			c.match(where, token, hashPattern, hashExpected)
+			c.hash(where, token)
 			c.unique(where, token, tokens)
 		}
 		for j, service := range team.GetServices() {
@@ -117,7 +124,7 @@
 		c.add("/timeout", service.GetTimeout().AsDuration().String(), "a time above 0s")
 	}
 	for i, owner := range service.GetOwners() {
-		c.match("/owners/"+strconv.Itoa(i), owner, hashPattern, hashExpected)
+		c.hash("/owners/"+strconv.Itoa(i), owner)
 	}
 }
 
