--- a/internal/core/mtrecord/check.go
+++ b/internal/core/mtrecord/check.go
@@ -73,9 +73,10 @@
 	}
 }
 
-func (c *checker) unique(pointer, value string, seen map[string]bool) {
+// unique describes a value that stands twice by the text found.
+func (c *checker) unique(pointer, value, found string, seen map[string]bool) {
 	if seen[value] {
-		c.add(pointer, "the same value a second time", "a value that differs from the others")
+		c.add(pointer, found+" a second time", "a value that differs from the others")
 	}
 	seen[value] = true
 }
@@ -88,12 +89,12 @@
 	for i, team := range contract.GetTeams() {
 		at := "/teams/" + strconv.Itoa(i)
 		c.match(at+"/name", team.GetName(), namePattern, nameExpected)
-		c.unique(at+"/name", team.GetName(), teams)
+		c.unique(at+"/name", team.GetName(), strconv.Quote(team.GetName()), teams)
 		c.limit(at+"/limit", team.GetLimit())
 		for j, token := range team.GetTokens() {
 			where := at + "/tokens/" + strconv.Itoa(j)
 			c.hash(where, token)
-			c.unique(where, token, tokens)
+			c.unique(where, token, "the same hash", tokens)
 		}
 		for j, service := range team.GetServices() {
 			c.match(at+"/services/"+strconv.Itoa(j), service, servicePattern, serviceExpected)
