The choice of an endpoint allocates nothing under its lock

Cause: at half of saturation the added p99 was far above a naive relay's. Change: slices are reused, the typical latency is computed at most every 20 ms, a tick with nobody waiting takes no lock.

--- a/internal/core/mtdispatch/dispatcher.go
+++ b/internal/core/mtdispatch/dispatcher.go
@@ -27,6 +27,8 @@
 	queueSmallest = 64
 	// patience is how long the first call waits although every slot looks taken while none of the own calls runs.
 	patience = 20 * time.Millisecond
+	// medianLife is how long the typical latency is used before it is computed again.
+	medianLife = 20 * time.Millisecond
 	// forever is longer than any deadline.
 	forever = 1 << 62
 )
@@ -46,6 +48,13 @@
 	queue     *mtqueue.Queue
 	avoid     map[uint64]string
 	idleSince time.Time
+	// median is the typical latency of an endpoint as it was at the moment measured.
+	median   time.Duration
+	measured time.Time
+	// The slices below are reused, because callers hold a lock and must not wait for the collector.
+	staying   []*mtendpoint.Endpoint
+	healthy   []*mtendpoint.Endpoint
+	latencies []time.Duration
 }
 
 // Grant binds a waiting call to an endpoint.
@@ -96,7 +105,7 @@
 	if len(d.usable(now)) == 0 {
 		return nil, Empty.New("%d endpoints are listed, none of them stays", len(d.endpoints))
 	}
-	if wait := d.wait(); now.Add(wait).After(deadline) {
+	if wait := d.wait(now); now.Add(wait).After(deadline) {
 		return nil, Late.New("the expected wait is %s, %s are left", wait, deadline.Sub(now))
 	}
 	if avoid != "" {
@@ -110,28 +119,31 @@
 }
 
 // wait estimates how long a call that comes now waits for its turn.
-func (d *Dispatcher) wait() time.Duration {
-	slots := max(1, d.slots())
-	return time.Duration(float64(d.queue.Len()) * float64(d.median()) / slots)
+func (d *Dispatcher) wait(now time.Time) time.Duration {
+	if d.queue.Len() == 0 {
+		return 0
+	}
+	return time.Duration(float64(d.queue.Len()) * float64(d.Latency(now)) / max(1, d.slots()))
 }
 
 // Latency returns the median over the endpoints of the smoothed time of an answer, or 0 before the first answer.
-func (d *Dispatcher) Latency() time.Duration {
-	return d.median()
-}
-
-func (d *Dispatcher) median() time.Duration {
-	var latencies []time.Duration
+func (d *Dispatcher) Latency(now time.Time) time.Duration {
+	if now.Sub(d.measured) < medianLife {
+		return d.median
+	}
+	d.measured = now
+	d.latencies = d.latencies[:0]
 	for _, endpoint := range d.endpoints {
 		if latency := endpoint.Latency(); latency > 0 {
-			latencies = append(latencies, latency)
+			d.latencies = append(d.latencies, latency)
 		}
 	}
-	if len(latencies) == 0 {
-		return 0
+	d.median = 0
+	if len(d.latencies) > 0 {
+		slices.Sort(d.latencies)
+		d.median = d.latencies[len(d.latencies)/2]
 	}
-	slices.Sort(latencies)
-	return latencies[len(latencies)/2]
+	return d.median
 }
 
 // Bind binds as many waiting calls as there are free slots.
@@ -196,27 +208,29 @@
 	return sum
 }
 
+// usable returns the endpoints that may get calls; the slice is valid until the next call.
 func (d *Dispatcher) usable(now time.Time) []*mtendpoint.Endpoint {
-	var staying, healthy []*mtendpoint.Endpoint
+	d.staying = d.staying[:0]
+	d.healthy = d.healthy[:0]
 	for _, endpoint := range d.endpoints {
 		if endpoint.Leaving {
 			continue
 		}
-		staying = append(staying, endpoint)
+		d.staying = append(d.staying, endpoint)
 		if !endpoint.IsEjected(now) {
-			healthy = append(healthy, endpoint)
+			d.healthy = append(d.healthy, endpoint)
 		}
 	}
-	if 2*len(healthy) < len(staying) {
-		return staying
+	if 2*len(d.healthy) < len(d.staying) {
+		return d.staying
 	}
-	return healthy
+	return d.healthy
 }
 
 func (d *Dispatcher) best(from []*mtendpoint.Endpoint, now time.Time, random *rand.Rand, least float64) *mtendpoint.Endpoint {
 	var best *mtendpoint.Endpoint
 	var bestScore float64
-	median := d.median()
+	median := d.Latency(now)
 	for _, endpoint := range from {
 		free := endpoint.Free(now)
 		if free < least {
--- a/internal/node/mtrouter/desk.go
+++ b/internal/node/mtrouter/desk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -29,8 +30,10 @@
 	mu         sync.Mutex
 	dispatcher *mtdispatch.Dispatcher
 	random     *rand.Rand
-	waiting    map[uint64]chan verdict
-	next       uint64
+	// queued is the number of calls that wait, so that a tick without any takes no lock.
+	queued  atomic.Int64
+	waiting map[uint64]chan verdict
+	next    uint64
 }
 
 type verdict struct {
@@ -97,6 +100,7 @@
 		d.refuse(victim, mtrefusal.NotRun(mtrefusal.Busy, "the queue is full").After(busyRetry))
 	}
 	d.bind(now)
+	d.queued.Store(int64(d.dispatcher.Len()))
 	return id, answer, nil
 }
 
@@ -151,21 +155,22 @@
 }
 
 func (d *desk) tick(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.dispatcher.Len() == 0 {
+	if d.queued.Load() == 0 {
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, id := range d.dispatcher.Expire(now) {
 		d.refuse(id, mtrefusal.NotRun(mtrefusal.Deadline, "the deadline came before an endpoint was free"))
 	}
 	d.bind(now)
+	d.queued.Store(int64(d.dispatcher.Len()))
 }
 
-func (d *desk) latency() time.Duration {
+func (d *desk) latency(now time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dispatcher.Latency()
+	return d.dispatcher.Latency(now)
 }
 
 func (d *desk) update(update Update, instance string, now time.Time) {
--- a/internal/node/mtrouter/router.go
+++ b/internal/node/mtrouter/router.go
@@ -71,7 +71,7 @@
 
 // Latency returns the time within which the service's endpoints usually answer, or 0 before the first answer.
 func (r *Router) Latency(service string) time.Duration {
-	return r.desk(service).latency()
+	return r.desk(service).latency(time.Now())
 }
 
 // Waiting returns the number of calls that wait for an endpoint.
