--- a/internal/node/mtnode/interop_test.go
+++ b/internal/node/mtnode/interop_test.go
@@ -156,6 +156,7 @@
 }
 
 func TestStockConnectClients(t *testing.T) {
+	t.Parallel()
 	site := sampleSite(t, nil)
 	url := "http://" + site.Nodes[0].Calls
 	clients := map[string]samplev1connect.SampleServiceClient{
@@ -211,6 +212,7 @@
 }
 
 func TestBidirectionalStream(t *testing.T) {
+	t.Parallel()
 	site := sampleSite(t, nil)
 	for name, options := range map[string][]connect.ClientOption{"connect": nil, "gRPC": {connect.WithGRPC()}} {
 		t.Run(name, func(t *testing.T) {
@@ -231,6 +233,7 @@
 }
 
 func TestStockGRPCClient(t *testing.T) {
+	t.Parallel()
 	site := sampleSite(t, nil)
 	client, err := grpc.NewClient(site.Nodes[0].Calls, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	require.NoError(t, err)
@@ -262,6 +265,7 @@
 }
 
 func TestPlainCaller(t *testing.T) {
+	t.Parallel()
 	site := sampleSite(t, &recordv1.Limit{Rate: 0.001})
 	post := func(token, path, body string) (*http.Response, string) {
 		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+site.Nodes[0].Calls+path, strings.NewReader(body))
--- a/internal/node/mtnode/leave_test.go
+++ b/internal/node/mtnode/leave_test.go
@@ -42,6 +42,7 @@
 // Callers call through an instance that leaves until it is gone, some of them with an answer of Resolve that they hold to
 // the last moment. No call may fail and none may run twice.
 func TestLeavingInstanceCutsOffNothing(t *testing.T) {
+	t.Parallel()
 	site := mtsite.NewSite(t)
 	endpoint := &deposits{runs: map[string]int{}}
 	server := httptest.NewServer(endpoint)
--- a/internal/standin/mtplatform/log.go
+++ b/internal/standin/mtplatform/log.go
@@ -147,6 +147,13 @@
 	return answer, source.appended
 }
 
+// Oldest returns the offset of the oldest entry that a stream still keeps.
+func (l *Log) Oldest(name string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream(name).oldest
+}
+
 func delay(ctx context.Context, slow time.Duration) error {
 	if slow <= 0 {
 		return nil
--- a/internal/testkit/mtsite/site.go
+++ b/internal/testkit/mtsite/site.go
@@ -35,6 +35,8 @@
 const (
 	peerSecret = "a-secret-of-all-peers"
 	patience   = 30 * time.Second
+	// unreachable is an address at which nothing listens.
+	unreachable = "127.0.0.1:1"
 )
 
 // Site is a platform with its entry instances.
@@ -45,7 +47,9 @@
 	t     testing.TB
 	url   string
 	// operator is the operators' token.
-	operator string
+	operator  string
+	stale     time.Duration
+	retention time.Duration
 }
 
 // Option changes a site under construction.
@@ -67,17 +71,43 @@
 	done    sync.WaitGroup
 }
 
+// WithStale sets how long instances admit calls without the log and without peers.
+func WithStale(stale time.Duration) Option {
+	return func(s *Site) {
+		s.stale = stale
+	}
+}
+
+// WithRetention sets how long the log keeps a record.
+func WithRetention(retention time.Duration) Option {
+	return func(s *Site) {
+		s.retention = retention
+	}
+}
+
+// NodeOption changes the settings of an entry instance.
+type NodeOption func(*settingsv1.Settings)
+
+// WithoutLog makes an instance unable to reach the log.
+func WithoutLog() NodeOption {
+	return func(settings *settingsv1.Settings) {
+		settings.Log = unreachable
+	}
+}
+
 // NewSite runs a platform without entry instances; the test's end stops everything.
 func NewSite(t testing.TB, options ...Option) *Site {
 	site := &Site{
-		Log:      mtplatform.NewLog(time.Hour),
-		List:     mtplatform.NewList(0),
-		t:        t,
-		operator: OperatorToken,
+		List:      mtplatform.NewList(0),
+		t:         t,
+		operator:  OperatorToken,
+		stale:     time.Minute,
+		retention: time.Hour,
 	}
 	for _, option := range options {
 		option(site)
 	}
+	site.Log = mtplatform.NewLog(site.retention)
 	mux := http.NewServeMux()
 	mux.Handle(platformv1connect.NewLogServiceHandler(site.Log))
 	mux.Handle(platformv1connect.NewInstanceListServiceHandler(site.List))
@@ -98,7 +128,7 @@
 }
 
 // AddNode runs an entry instance.
-func (s *Site) AddNode(name string) *Node {
+func (s *Site) AddNode(name string, options ...NodeOption) *Node {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	settings := &settingsv1.Settings{
@@ -111,10 +141,13 @@
 		Peer:      peerSecret,
 		Operators: []string{mtrules.HashToken(s.operator)},
 		Hold:      durationpb.New(100 * time.Millisecond),
-		Stale:     durationpb.New(time.Minute),
+		Stale:     durationpb.New(s.stale),
 		Body:      1 << 16,
 		Keys:      100_000,
-		Retention: durationpb.New(time.Hour),
+		Retention: durationpb.New(s.retention),
+	}
+	for _, option := range options {
+		option(settings)
 	}
 	for _, other := range s.Nodes {
 		settings.Seeds = append(settings.Seeds, other.Control)
