Limits against an all-knowing counter; a claim needs twice the part

Cause: measured against one counter for all, 18 instances admitted 9.7% too much in 1 s. Parts added up to 1; the excess came from every instance claiming a little of what a late view showed as free, each second (ruled out: rising into half or a quarter of what is free changed nothing). Change: an instance claims only when its demand asks for at least twice its part, as that of a newcomer does.

--- a/internal/core/mtshare/share.go
+++ b/internal/core/mtshare/share.go
@@ -17,6 +17,9 @@
 // floorDemand is the demand in calls per second that an idle instance counts with.
 const floorDemand = 0.5
 
+// claimFactor is by how much a demand must exceed the part before it is claimed at once.
+const claimFactor = 2
+
 // unknownPart stands for the part of a limit that is asked for, when only the concurrency is bounded.
 const unknownPart = 0.5
 
@@ -63,13 +66,17 @@
 
 // Claim moves the part at once towards a demand that nobody has heard of, into at most half of what the others leave free.
 //
-// It serves an instance to which callers have just moved. One instance that claims keeps the sum within the limit; two
+// It serves an instance to which callers have just moved, so the demand must ask for twice the part at least; smaller
+// claims of all instances at once would exceed a limit that is used up. One instance that claims keeps the sum within the limit; two
 // that claim at the same moment can exceed it until the next Adjust.
 func (s *Share) Claim(demand, limit float64, others []Announcement) float64 {
 	total, held := sums(others)
 	want := wish(demand, total, limit, len(others)+1)
+	if want < claimFactor*s.part {
+		return s.part
+	}
 	free := max(0, 1-held-s.part)
-	s.part += min(max(0, want-s.part), free/2)
+	s.part += min(want-s.part, free/2)
 	return s.part
 }
 
