One way to read a metric and a status; the stand-in's delays are all in use

Cause: the reading of metrics and of a status stood twice, the stand-in's delays to clients and of a probe were settings without effect, and a counter had a method that nothing called.

--- a/internal/adapter/mtmeter/meter.go
+++ b/internal/adapter/mtmeter/meter.go
@@ -12,18 +12,18 @@
 
 // Meter counts what an entry instance does; it is safe for use by many goroutines.
 type Meter struct {
-	set    *metrics.Set
-	extra  *metrics.Counter
-	probes *metrics.Counter
+	set   *metrics.Set
+	extra *metrics.Counter
 }
 
 // NewMeter returns a meter with all counts at zero.
 func NewMeter() *Meter {
 	set := metrics.NewSet()
+	// No probes are sent, because load reports ride on answers; the count of none is stated all the same.
+	set.NewCounter("mangotack_probes_total")
 	return &Meter{
-		set:    set,
-		extra:  set.NewCounter("mangotack_extra_attempts_total"),
-		probes: set.NewCounter("mangotack_probes_total"),
+		set:   set,
+		extra: set.NewCounter("mangotack_extra_attempts_total"),
 	}
 }
 
@@ -38,11 +38,6 @@
 	m.extra.Inc()
 }
 
-// Probe counts a probe of an endpoint.
-func (m *Meter) Probe() {
-	m.probes.Inc()
-}
-
 // Gauge adds a value that is read whenever the metrics are.
 func (m *Meter) Gauge(name string, read func() float64) {
 	m.set.NewGauge(name, read)
--- a/internal/standin/mtloader/loader.go
+++ b/internal/standin/mtloader/loader.go
@@ -85,6 +85,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	nonce := strconv.FormatUint(rand.Uint64(), 36)
+	// The way from the caller and back is no latency of the product, so it is left out of what is added.
+	time.Sleep(l.settings.GetClient().AsDuration())
+	defer time.Sleep(l.settings.GetClient().AsDuration())
 	started := time.Now()
 	answer, err := client.Do(ctx, request(load, nonce))
 	took := time.Since(started)
--- a/internal/standin/mtmeasure/fleet.go
+++ b/internal/standin/mtmeasure/fleet.go
@@ -1,11 +1,9 @@
 package mtmeasure
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +16,7 @@
 
 	"github.com/mangotack/mangotack/internal/core/mtrules"
 	settingsv1 "github.com/mangotack/mangotack/internal/gen/mangotack/settings/v1"
+	"github.com/mangotack/mangotack/internal/standin/mtscrape"
 	"github.com/mangotack/mangotack/internal/standin/mtstandin"
 	recordv1 "github.com/mangotack/mangotack/pkg/gen/mangotack/record/v1"
 )
@@ -150,14 +149,14 @@
 	bytesBefore := make([]float64, len(processes))
 	for i, process := range processes {
 		before[i] = processorTime(process)
-		bytesBefore[i] = metric(memberAddress(i, 7701), "mangotack_gossip_bytes_total")
+		bytesBefore[i] = mtscrape.Value(memberAddress(i, 7701), "mangotack_gossip_bytes_total")
 	}
 	time.Sleep(fleetWindow)
 	cpu, memory, sent := 0.0, 0.0, 0.0
 	for i, process := range processes {
 		cpu += (processorTime(process) - before[i]).Seconds()
 		memory += resident(process)
-		sent += metric(memberAddress(i, 7701), "mangotack_gossip_bytes_total") - bytesBefore[i]
+		sent += mtscrape.Value(memberAddress(i, 7701), "mangotack_gossip_bytes_total") - bytesBefore[i]
 	}
 	count := float64(len(processes))
 	return []Figure{
@@ -178,20 +177,3 @@
 	kilobytes, _ := strconv.ParseFloat(number, 64)
 	return kilobytes / 1000
 }
-
-// metric reads one value of an instance's metrics.
-func metric(control, name string) float64 {
-	response, err := http.Get("http://" + control + "/metrics")
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		if text, found := strings.CutPrefix(lines.Text(), name+" "); found {
-			value, _ := strconv.ParseFloat(text, 64)
-			return value
-		}
-	}
-	return 0
-}
--- /dev/null
+++ b/internal/standin/mtscrape/doc.go
@@ -0,0 +1,2 @@
+// Package mtscrape reads the metrics of entry instances.
+package mtscrape
--- a/internal/standin/mtstandinverb/run.go
+++ b/internal/standin/mtstandinverb/run.go
@@ -1,14 +1,10 @@
 package mtstandinverb
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
-	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,6 +12,7 @@
 
 	standinv1 "github.com/mangotack/mangotack/internal/gen/mangotack/standin/v1"
 	"github.com/mangotack/mangotack/internal/standin/mtloader"
+	"github.com/mangotack/mangotack/internal/standin/mtscrape"
 	"github.com/mangotack/mangotack/internal/standin/mttally"
 	"github.com/mangotack/mangotack/internal/standin/mtverdict"
 )
@@ -46,23 +43,6 @@
 	return command
 }
 
-// probes reads the number of probes that an entry instance has sent; one that is gone counts as none.
-func probes(control string) float64 {
-	response, err := http.Get("http://" + control + "/metrics")
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		if text, found := strings.CutPrefix(lines.Text(), "mangotack_probes_total "); found {
-			number, _ := strconv.ParseFloat(text, 64)
-			return number
-		}
-	}
-	return 0
-}
-
 func newVerdictCommand(file *string) *cobra.Command {
 	path := ""
 	verdict := &mtverdict.Verdict{}
@@ -95,7 +75,7 @@
 		}
 		verdict.Report = answer.Msg
 		for _, control := range *controls {
-			verdict.Probes += probes(control)
+			verdict.Probes += mtscrape.Value(control, "mangotack_probes_total")
 		}
 		if !verdict.Print(command.OutOrStdout()) {
 			return errors.New("a promise was broken")
--- a/internal/standin/mtworkserver/server.go
+++ b/internal/standin/mtworkserver/server.go
@@ -28,6 +28,9 @@
 	// NonceHeader is sent back in the body of the answer.
 	NonceHeader = "Standin-Nonce"
 
+	// probePath answers with the load report only, after the delay of a probe.
+	probePath = "/load"
+
 	coldFactor   = 5
 	coldTime     = 2 * time.Second
 	leaveGrace   = 3 * time.Second
@@ -148,6 +151,10 @@
 // ServeHTTP answers one call.
 func (s *Server) ServeHTTP(to http.ResponseWriter, request *http.Request) {
 	s.network(request)
+	if request.URL.Path == probePath {
+		s.probe(to)
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
@@ -173,6 +180,12 @@
 	_, _ = to.Write(answer)
 }
 
+// probe answers with the load and runs nothing.
+func (s *Server) probe(to http.ResponseWriter) {
+	time.Sleep(s.delay.GetProbe().AsDuration())
+	to.Header().Set(mtload.Header, s.load().String())
+}
+
 func (s *Server) answer(request *http.Request, body []byte) []byte {
 	answer := append([]byte(request.Header.Get(NonceHeader)+"\n"), body...)
 	if missing := int(s.pool.GetBytes()) - len(answer); missing > 0 {
--- a/internal/verb/mtverb/log.go
+++ b/internal/verb/mtverb/log.go
@@ -19,14 +19,10 @@
 		Example: "  MANGOTACK_TOKEN=... mangotack log --entry 127.0.1.100:7200",
 		Args:    noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.client(command)
+			status, err := flags.status(command)
 			if err != nil {
 				return err
 			}
-			status, err := client.Status(command.Context())
-			if err != nil {
-				return explain(err)
-			}
 			versions := status.GetVersions()
 			slices.SortFunc(versions, func(a, b *recordv1.Version) int {
 				return int(int64(a.GetOffset()) - int64(b.GetOffset()))
--- a/internal/verb/mtverb/publish.go
+++ b/internal/verb/mtverb/publish.go
@@ -47,6 +47,19 @@
 	return mtoperator.NewClient(f.entry, token), nil
 }
 
+// status asks the entry instance that the flags name.
+func (f *operatorFlags) status(command *cobra.Command) (*entryv1.StatusResponse, error) {
+	client, err := f.client(command)
+	if err != nil {
+		return nil, err
+	}
+	status, err := client.Status(command.Context())
+	if err != nil {
+		return nil, explain(err)
+	}
+	return status, nil
+}
+
 func newPublishCommand() *cobra.Command {
 	flags := &operatorFlags{}
 	command := &cobra.Command{
--- a/internal/verb/mtverb/status.go
+++ b/internal/verb/mtverb/status.go
@@ -20,14 +20,10 @@
 		Example: "  MANGOTACK_TOKEN=... mangotack status --entry 127.0.1.100:7200",
 		Args:    noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.client(command)
+			status, err := flags.status(command)
 			if err != nil {
 				return err
 			}
-			status, err := client.Status(command.Context())
-			if err != nil {
-				return explain(err)
-			}
 			if asJSON {
 				text, err := protojson.MarshalOptions{Multiline: true}.Marshal(status)
 				command.Println(string(text))
