A call no longer copies the rows of all instances

Cause: reading the code once more: the part of the connections that an instance may open asked for the number of instances on every call, and that copied every row of the membership; the crews of all services did the same per service. With a hundred instances it would have been a hundred copies a call.

--- a/internal/node/mtcrews/crews.go
+++ b/internal/node/mtcrews/crews.go
@@ -37,13 +37,22 @@
 	}
 }
 
-// Crew returns the entry instances that carry a service; instances that are suspected serve only when no other is left.
+// Crew returns the entry instances that carry a service.
 func (c *Crews) Crew(service string, now time.Time) []mtcrew.Place {
+	return c.At(now)(service)
+}
+
+// At returns a function for the crews of many services at one moment, which looks at the members only once.
+//
+// Instances that are suspected serve only when no other is left.
+func (c *Crews) At(now time.Time) func(service string) []mtcrew.Place {
 	candidates := c.candidates(now, mtmember.Alive)
 	if len(candidates) == 0 {
 		candidates = c.candidates(now, mtmember.Alive, mtmember.Suspect)
 	}
-	return mtcrew.Members(service, candidates, perCentre)
+	return func(service string) []mtcrew.Place {
+		return mtcrew.Members(service, candidates, perCentre)
+	}
 }
 
 func (c *Crews) candidates(now time.Time, states ...string) []mtcrew.Place {
--- a/internal/node/mtnode/node.go
+++ b/internal/node/mtnode/node.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"net/http/pprof"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -94,6 +95,8 @@
 	meter     *mtmeter.Meter
 	calls     *mtserver.Server
 	control   *mtserver.Server
+	// known is the number of instances known at the last refresh.
+	known atomic.Int64
 	// claimTicks counts the periods of claims.
 	claimTicks int
 	// refreshing is taken before any lock of a table.
@@ -203,8 +206,11 @@
 	}
 }
 
+// memberCount returns the number of instances that share the endpoints, as of the last refresh.
+//
+// Every call asks for it, so it costs one atomic load.
 func (n *Node) memberCount() int {
-	return len(n.members.Known())
+	return int(max(1, n.known.Load()))
 }
 
 // Run serves until the context ends, then leaves without cutting off a call.
--- a/internal/node/mtnode/tasks.go
+++ b/internal/node/mtnode/tasks.go
@@ -70,13 +70,15 @@
 func (n *Node) refresh(now time.Time) {
 	n.refreshing.Lock()
 	defer n.refreshing.Unlock()
+	n.known.Store(int64(len(n.members.Known())))
 	rules := n.state.Rules()
+	crewOf := n.crews.At(now)
 	for name, service := range rules.Services() {
 		n.router.Update(mtrouter.Update{
 			Service:   service,
 			Endpoints: n.list.Of(name),
 			Leaving:   rules.IsLeaving,
-			Crew:      n.crews.Crew(name, now),
+			Crew:      crewOf(name),
 		}, now)
 	}
 }
@@ -104,8 +106,9 @@
 func (n *Node) Status(now time.Time) []*entryv1.EndpointStatus {
 	var result []*entryv1.EndpointStatus
 	leads := map[string]map[string]string{}
+	crewOf := n.crews.At(now)
 	for name := range n.state.Rules().Services() {
-		leads[name] = mtcrew.Leads(mtrouter.Places(n.list.Of(name)), n.crews.Crew(name, now))
+		leads[name] = mtcrew.Leads(mtrouter.Places(n.list.Of(name)), crewOf(name))
 	}
 	n.router.Endpoints(func(service string, endpoint *mtendpoint.Endpoint) {
 		status := &entryv1.EndpointStatus{
