--- a/internal/core/mtdispatch/dispatcher.go
+++ b/internal/core/mtdispatch/dispatcher.go
@@ -126,14 +126,14 @@
 	return time.Duration(float64(d.queue.Len()) * float64(d.Latency(now)) / max(1, d.slots()))
 }
 
-// Latency returns the median over the endpoints of the smoothed time of an answer, or 0 before the first answer.
+// Latency returns the median over the usable endpoints of the smoothed time of an answer, or 0 before the first answer.
 func (d *Dispatcher) Latency(now time.Time) time.Duration {
 	if now.Sub(d.measured) < medianLife {
 		return d.median
 	}
 	d.measured = now
 	d.latencies = d.latencies[:0]
-	for _, endpoint := range d.endpoints {
+	for _, endpoint := range d.usable(now) {
 		if latency := endpoint.Latency(); latency > 0 {
 			d.latencies = append(d.latencies, latency)
 		}
@@ -191,7 +191,7 @@
 
 // other returns an endpoint for a call that must avoid one, or that one when there is no other.
 func (d *Dispatcher) other(avoided *mtendpoint.Endpoint, now time.Time, random *rand.Rand) *mtendpoint.Endpoint {
-	rest := slices.DeleteFunc(d.usable(now), func(endpoint *mtendpoint.Endpoint) bool {
+	rest := slices.DeleteFunc(slices.Clone(d.usable(now)), func(endpoint *mtendpoint.Endpoint) bool {
 		return endpoint == avoided
 	})
 	if best := d.best(rest, now, random, -1e9); best != nil {
@@ -233,10 +233,11 @@
 	median := d.Latency(now)
 	for _, endpoint := range from {
 		free := endpoint.Free(now)
-		if free < least {
+		// A short wait for another endpoint beats a free slot of a straggler; a call that must go somewhere takes any.
+		if free < least || least > 0 && endpoint.IsStraggler(median, now) {
 			continue
 		}
-		score := d.score(endpoint, free, median) + random.Float64()
+		score := d.score(endpoint, free) + random.Float64()
 		if best == nil || score > bestScore {
 			best = endpoint
 			bestScore = score
@@ -245,7 +246,7 @@
 	return best
 }
 
-func (d *Dispatcher) score(endpoint *mtendpoint.Endpoint, free float64, median time.Duration) float64 {
+func (d *Dispatcher) score(endpoint *mtendpoint.Endpoint, free float64) float64 {
 	score := 10 * free / max(1, endpoint.Slots)
 	if endpoint.Lead {
 		score += 100
@@ -253,9 +254,6 @@
 	if endpoint.Centre == d.centre {
 		score += 20
 	}
-	if endpoint.IsStraggler(median) {
-		score -= 1000
-	}
 	return score
 }
 
--- a/internal/core/mtendpoint/endpoint.go
+++ b/internal/core/mtendpoint/endpoint.go
@@ -30,6 +30,7 @@
 	latencyWeight    = 0.2
 	stragglerFactor  = 4
 	stragglerMinimum = 20 * time.Millisecond
+	stragglerMemory  = 2 * time.Second
 )
 
 // Endpoint is one endpoint as one entry instance sees it.
@@ -51,6 +52,7 @@
 	slotsNow float64
 	reported time.Time
 	latency  time.Duration
+	answered time.Time
 	failures int
 	ejected  time.Time
 	backoff  time.Duration
@@ -83,6 +85,10 @@
 		e.fail(now)
 		return
 	}
+	if now.Sub(e.answered) > stragglerMemory {
+		e.latency = 0
+	}
+	e.answered = now
 	e.failures = 0
 	e.backoff = 0
 	e.ejected = time.Time{}
@@ -166,7 +172,12 @@
 	return now.Before(e.ejected)
 }
 
-// IsStraggler reports whether the endpoint answers far slower than the median of its pool.
-func (e *Endpoint) IsStraggler(median time.Duration) bool {
+// IsStraggler reports whether the endpoint answered far slower than the median of its pool lately.
+//
+// After a while without a call it counts as well, so that a few calls find out whether it is.
+func (e *Endpoint) IsStraggler(median time.Duration, now time.Time) bool {
+	if now.Sub(e.answered) > stragglerMemory && e.inflight == 0 {
+		return false
+	}
 	return e.latency > stragglerMinimum && e.latency > stragglerFactor*median
 }
