amend replaces one record against a version that was seen, with its difference

Cause: publish amended whatever version was in force at that moment, so of two operators who had read the same contract the later one overwrote the earlier one unseen. Change: publish takes only new records; amend names the version that its file replaces, shows a unified diff and refuses a stale one; the version is pinned from the check to the append.

--- a/internal/verb/mtoperator/client.go
+++ b/internal/verb/mtoperator/client.go
@@ -54,16 +54,14 @@
 // Complete gives a record its id and the version that it amends; unchanged is true when it is in force already.
 func (c *Client) Complete(record *recordv1.Record, versions []*recordv1.Version) (unchanged bool) {
 	record.Id = strings.ToLower(rand.Text())
-	for _, version := range versions {
-		if mtrecord.Key(version.GetRecord()) != mtrecord.Key(record) {
-			continue
-		}
-		record.Amends = version.GetNumber()
-		present := proto.CloneOf(version.GetRecord())
-		present.Id, present.Amends = record.GetId(), record.GetAmends()
-		return proto.Equal(present, record)
+	version := Present(versions, mtrecord.Key(record))
+	if version == nil {
+		return false
 	}
-	return false
+	record.Amends = version.GetNumber()
+	present := proto.CloneOf(version.GetRecord())
+	present.Id, present.Amends = record.GetId(), record.GetAmends()
+	return proto.Equal(present, record)
 }
 
 // Publish publishes a completed record; after a lost answer it publishes the same record again, which counts once.
--- a/internal/verb/mtverb/mark.go
+++ b/internal/verb/mtverb/mark.go
@@ -34,7 +34,11 @@
 					},
 				})
 			}
-			return flags.publish(command, records)
+			status, err := flags.status(command)
+			if err != nil {
+				return err
+			}
+			return flags.publish(command, records, status.GetVersions())
 		},
 	}
 	command.Flags().BoolVar(&leaving, "leaving", false, "the instances receive no new work")
--- a/internal/verb/mtverb/publish.go
+++ b/internal/verb/mtverb/publish.go
@@ -64,8 +64,8 @@
 	flags := &operatorFlags{}
 	command := &cobra.Command{
 		Use:     "publish --entry ADDRESS FILE...",
-		Short:   "Publish the records of bundles",
-		Long:    "Publishes each record that differs from the one in force. Services, contracts and marks need\nan operator's token in MANGOTACK_TOKEN, approvals the token of the service's owner.",
+		Short:   "Publish new records",
+		Long:    "Publishes the records of bundles that are not in force yet, and refuses all of them when one\ndiffers from the version in force, which only amend replaces. Services, contracts and marks\nneed an operator's token in MANGOTACK_TOKEN, approvals the token of the service's owner.",
 		Example: "  MANGOTACK_TOKEN=... mangotack publish --entry 127.0.1.100:7200 --wait contracts.json",
 		Args:    files,
 		RunE: func(command *cobra.Command, arguments []string) error {
@@ -74,7 +74,7 @@
 				if err != nil {
 					return err
 				}
-				if err := flags.publish(command, records); err != nil {
+				if err := flags.publishNew(command, records); err != nil {
 					return err
 				}
 			}
@@ -86,20 +86,39 @@
 	return command
 }
 
-// publish publishes records one after the other and prints what became of each.
-func (f *operatorFlags) publish(command *cobra.Command, records []*recordv1.Record) error {
+// publishNew publishes records none of which replaces one in force, so that nobody's amendment is overwritten unseen.
+func (f *operatorFlags) publishNew(command *cobra.Command, records []*recordv1.Record) error {
+	status, err := f.status(command)
+	if err != nil {
+		return err
+	}
 	client, err := f.client(command)
 	if err != nil {
 		return err
 	}
-	started := time.Now()
-	status, err := client.Status(command.Context())
+	var failures []error
+	for _, record := range records {
+		if !client.Complete(record, status.GetVersions()) && record.GetAmends() > 0 {
+			failures = append(failures, fmt.Errorf("%s: version %d is in force and differs; use amend --version %d", mtrecord.Key(record), record.GetAmends(), record.GetAmends()))
+		}
+	}
+	if err := errors.Join(failures...); err != nil {
+		return err
+	}
+	return f.publish(command, records, status.GetVersions())
+}
+
+// publish publishes records one after the other and prints what became of each; each amends its version among those given,
+// so a change that came between is not overwritten.
+func (f *operatorFlags) publish(command *cobra.Command, records []*recordv1.Record, versions []*recordv1.Version) error {
+	client, err := f.client(command)
 	if err != nil {
-		return explain(err)
+		return err
 	}
+	started := time.Now()
 	last := uint64(0)
 	for _, record := range records {
-		if client.Complete(record, status.GetVersions()) {
+		if client.Complete(record, versions) {
 			command.Printf("%s: unchanged\n", mtrecord.Key(record))
 			continue
 		}
--- a/internal/verb/mtverb/table.go
+++ b/internal/verb/mtverb/table.go
@@ -23,6 +23,7 @@
 
 // verbs is the look-up table of all verbs.
 var verbs = []func() *cobra.Command{
+	newAmendCommand,
 	newCheckCommand,
 	newHashCommand,
 	newLogCommand,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,7 +45,7 @@
 $standin endpoint $leaving --leaving
 $standin endpoint $straggler --slower 10
 sleep 1
-operator publish --entry $control --wait "$here/amended.json" | tee "$work/force"
+operator amend --entry $control --version 1 --wait "$here/amended.json" | tee "$work/force"
 force=$(sed -n 's/^in force everywhere after //p' "$work/force")
 $standin log --out
 sleep 3
