--- a/pkg/mtcaller/client.go
+++ b/pkg/mtcaller/client.go
@@ -13,6 +13,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -73,6 +74,7 @@
 type Client struct {
 	token    string
 	centre   string
+	scheme   string
 	entries  []string
 	http     *http.Client
 	resolver *resolver
@@ -88,6 +90,14 @@
 	}
 }
 
+// WithTLS makes the client speak TLS to the entry instances; it replaces the transport.
+func WithTLS(config *tls.Config) Option {
+	return func(c *Client) {
+		c.scheme = "https"
+		c.http.Transport = newTransport(config)
+	}
+}
+
 // WithTransport sets the transport to the entry instances.
 func WithTransport(transport http.RoundTripper) Option {
 	return func(c *Client) {
@@ -99,12 +109,10 @@
 func NewClient(token string, entries []string, options ...Option) *Client {
 	client := &Client{
 		token:   token,
+		scheme:  "http",
 		entries: entries,
 		http: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 64,
-				DisableCompression:  true,
-			},
+			Transport: newTransport(nil),
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
@@ -117,6 +125,14 @@
 	return client
 }
 
+func newTransport(config *tls.Config) *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		DisableCompression:  true,
+		TLSClientConfig:     config,
+	}
+}
+
 // Do makes a call and returns the whole answer; an error is of type NotRun or Unknown.
 func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
 	mayHaveRun := false
@@ -205,7 +221,7 @@
 }
 
 func (c *Client) send(ctx context.Context, call Call, address, key string) (*Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+call.Service+"/"+call.Method, opaque{
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+"://"+address+"/"+call.Service+"/"+call.Method, opaque{
 		Reader: bytes.NewReader(call.Body),
 	})
 	if err != nil {
--- a/pkg/mtcaller/client_test.go
+++ b/pkg/mtcaller/client_test.go
@@ -196,6 +196,19 @@
 	require.True(t, errorx.IsOfType(err, mtcaller.NotRun))
 }
 
+func TestCallsGoOverTLS(t *testing.T) {
+	a, b := pair(t, answering("a"), answering("b"))
+	secure := httptest.NewTLSServer(a.server.Config.Handler)
+	t.Cleanup(secure.Close)
+	address := strings.TrimPrefix(secure.URL, "https://")
+	a.listed[0].Calls = address
+	client := mtcaller.NewClient("token", []string{address}, mtcaller.WithCentre("near"), mtcaller.WithTLS(secure.Client().Transport.(*http.Transport).TLSClientConfig))
+	answer, err := client.Do(t.Context(), mtcaller.Call{Service: "a.v1.S", Method: "M"})
+	require.NoError(t, err)
+	require.Equal(t, "a", string(answer.Body))
+	require.Empty(t, b.keys)
+}
+
 func ExampleClient_Do() {
 	t := &testing.T{}
 	a, _ := pair(t, answering("charged 40 EUR"), answering("charged 40 EUR"))
--- a/pkg/mtcaller/resolver.go
+++ b/pkg/mtcaller/resolver.go
@@ -130,7 +130,7 @@
 		Centre:  r.client.centre,
 	})
 	request.Header().Set("Authorization", "Bearer "+r.client.token)
-	answer, err := entryv1connect.NewResolveServiceClient(r.client.http, "http://"+address).Resolve(limited, request)
+	answer, err := entryv1connect.NewResolveServiceClient(r.client.http, r.client.scheme+"://"+address).Resolve(limited, request)
 	if err != nil {
 		return nil, err
 	}
