An instance whose host refuses connections is suspected at once

Cause: a crashed entry instance stayed in crews, and held its parts of limits, for 3 s. Change: a refused connection of gossip suspects it; its next heartbeat clears that. The first try looked for the cause in the error of the twirp client, which hides it, and a test of a whole round showed that; the dial tells it now.

--- a/internal/adapter/mtgossip/members.go
+++ b/internal/adapter/mtgossip/members.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -63,19 +66,30 @@
 
 // NewMembers returns the members as an instance sees them that knows only itself and its seeds.
 func NewMembers(view *mtmember.View, state state, seeds []string, secret string, logger *logrus.Logger) *Members {
-	return &Members{
+	members := &Members{
 		view:   view,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		seeds:  seeds,
 		secret: secret,
 		state:  state,
-		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 2,
-			},
-		},
 		logger: logger,
 	}
+	members.client = &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 2,
+			DialContext:         members.dial,
+		},
+	}
+	return members
+}
+
+// dial connects to a peer, and suspects an instance whose host refuses the connection, because its process is gone.
+func (m *Members) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		m.refused(address, time.Now())
+	}
+	return conn, err
 }
 
 // SetSeeds replaces the control addresses at which unknown instances may be found.
@@ -165,6 +179,12 @@
 	m.catchUp(ctx, address, answer.GetRows(), now)
 }
 
+func (m *Members) refused(address string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Refused(address, now)
+}
+
 // catchUp takes from a peer what it has applied beyond this instance, and counts the contact as a sign of freshness.
 func (m *Members) catchUp(ctx context.Context, address string, rows []*peerv1.Row, now time.Time) {
 	if len(rows) == 0 || !rows[0].GetReady() {
--- a/internal/core/mtmember/view.go
+++ b/internal/core/mtmember/view.go
@@ -2,7 +2,7 @@
 // one by (epoch, heartbeat). Silence is judged on the observer's own clock, from the moment at which a row last
 // advanced, so clocks need not agree:
 //
-//	alive --3 s without an advance--> suspect --3 s more--> dead --10 min--> forgotten
+//	alive --3 s without an advance, or a refused connection--> suspect --3 s more--> dead --10 min--> forgotten
 //
 // Above 64 instances the times grow with the fleet. A pause of the observer would look like the silence of everybody else, so a tick that comes late moves all these
 // moments by the time that was missed. A message holds the own row, a few others and the bare heartbeats of more, each up
@@ -146,6 +146,17 @@
 	}
 }
 
+// Refused records that the instance at a control address takes no connection: it is suspected at once, and its next
+// heartbeat clears it.
+func (v *View) Refused(control string, now time.Time) {
+	for _, found := range v.rows {
+		latest := now.Add(-v.patience(v.suspectAfter) - 1)
+		if found.row.GetControl() == control && found.advanced.After(latest) {
+			found.advanced = latest
+		}
+	}
+}
+
 // refute outbids the row of an earlier process of the own name; a clock that stepped back leaves one with a higher epoch.
 func (v *View) refute(row *peerv1.Row) {
 	if row.GetIncarnation() != v.self.GetIncarnation() && row.GetEpoch() >= v.self.GetEpoch() {
--- a/internal/core/mtmember/view_test.go
+++ b/internal/core/mtmember/view_test.go
@@ -162,6 +162,20 @@
 	require.Zero(t, deaths)
 }
 
+func TestInstanceThatTakesNoConnectionIsSuspectedUntilItsNextHeartbeat(t *testing.T) {
+	f := newFleet(6)
+	now := f.run(start, 20)
+	view := f.views["entry-000"]
+	view.Refused("entry-001", now)
+	state, _ := view.State("entry-001", now)
+	require.Equal(t, mtmember.Suspect, state)
+	state, _ = view.State("entry-002", now)
+	require.Equal(t, mtmember.Alive, state)
+	now = f.run(now, 5)
+	state, _ = view.State("entry-001", now)
+	require.Equal(t, mtmember.Alive, state)
+}
+
 func TestObserverThatWasPausedSuspectsNobody(t *testing.T) {
 	f := newFleet(6)
 	now := f.run(start, 20)
