A caller's body is not read after its handler has returned

The test that failed asked for more than the promise: that each unknown call had run. A call that is cut off just after its commit is unknown and did not run. Change: full duplex only for bodies of unknown length; a body is stopped before its handler returns, with a test. The test now follows each call by name: none that was told as not run may have run, which counting could not show. Left: a stream over HTTP/1.1 whose handler leaves it unread can still cost its caller the connection after the answer.

--- a/internal/adapter/mtbody/body.go
+++ b/internal/adapter/mtbody/body.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // errClosed is what a reader gets after it was closed.
@@ -21,6 +22,8 @@
 	kept   []byte
 	lost   bool
 	end    error
+	// reading is set while a read of the source is under way.
+	reading atomic.Bool
 }
 
 // NewBody returns a body that keeps at most limit bytes of source.
@@ -55,6 +58,21 @@
 	return b.end == io.EOF && !b.lost
 }
 
+// Stop ends all reading of the source; interrupt must make a read that is under way return.
+//
+// The source must not be read after the handler of its request has returned, because net/http then reads the next request
+// from the same connection. The transport may still be reading when an endpoint answers early.
+func (b *Body) Stop(interrupt func()) {
+	if b.reading.Load() {
+		interrupt()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end == nil {
+		b.end = errClosed
+	}
+}
+
 // Open returns a reader from the start; a second one may be opened only when CanReopen reports true.
 //
 // The reader is of no type that net/http knows, so net/http can't replay it.
@@ -66,7 +84,9 @@
 
 // pull reads once from the source; the mutex is held.
 func (b *Body) pull(buffer []byte) int {
+	b.reading.Store(true)
 	n, err := b.source.Read(buffer)
+	b.reading.Store(false)
 	if len(b.kept)+n > b.limit {
 		b.lost = true
 		b.kept = nil
--- a/internal/adapter/mtgate/answer_test.go
+++ b/internal/adapter/mtgate/answer_test.go
@@ -195,29 +195,44 @@
 }
 
 func TestCallsThatNeverGotASlotAreToldNotRunAndNeverRun(t *testing.T) {
-	runs := atomic.Int64{}
+	var mu sync.Mutex
+	runs := map[string]int{}
 	handler := func(_ http.ResponseWriter, request *http.Request) {
-		runs.Add(1)
-		_, _ = io.Copy(io.Discard, request.Body)
+		body, _ := io.ReadAll(request.Body)
+		mu.Lock()
+		runs[string(body)]++
+		mu.Unlock()
 		<-request.Context().Done()
 	}
 	handled(t, mtrecord.HTTP1, 1, handler, func(t *testing.T, h *mtharness.Harness) {
-		told := map[mtoutcome.Outcome]int{}
-		var mu sync.Mutex
+		told := map[string]mtoutcome.Outcome{}
 		var group sync.WaitGroup
-		for range 10 {
+		for i := range 10 {
 			group.Go(func() {
-				result := h.Call(t.Context(), "entry-1", mtharness.Once, "7", "Connect-Timeout-Ms", "300")
+				name := fmt.Sprint("call ", i)
+				result := h.Call(t.Context(), "entry-1", mtharness.Once, name, "Connect-Timeout-Ms", "300")
 				mu.Lock()
 				defer mu.Unlock()
-				told[result.Outcome()]++
+				told[name] = result.Outcome()
 			})
 		}
 		group.Wait()
 		time.Sleep(time.Minute)
-		require.EqualValues(t, told[mtoutcome.Unknown], runs.Load())
-		require.Equal(t, 10, told[mtoutcome.Unknown]+told[mtoutcome.NotRun])
-		require.NotZero(t, told[mtoutcome.NotRun])
+		mu.Lock()
+		defer mu.Unlock()
+		notRun := 0
+		for name, outcome := range told {
+			require.LessOrEqual(t, runs[name], 1)
+			if outcome == mtoutcome.NotRun {
+				notRun++
+				require.Zero(t, runs[name], "%s was told as not run", name)
+			} else {
+				// A call that was cut off just after its commit is unknown although it did not run.
+				require.Equal(t, mtoutcome.Unknown, outcome)
+			}
+		}
+		require.NotZero(t, notRun)
+		require.NotEmpty(t, runs)
 	})
 }
 
--- a/internal/adapter/mtgate/gate.go
+++ b/internal/adapter/mtgate/gate.go
@@ -199,8 +199,15 @@
 			return mtrefusal.NotRun(mtrefusal.BadCall, "the body of the call broke off")
 		}
 	}
-	// HTTP/1.1 callers may read the answer before they have sent the whole body; HTTP/2 needs no switch.
-	_ = http.NewResponseController(to).EnableFullDuplex()
+	control := http.NewResponseController(to)
+	if request.ContentLength < 0 {
+		// A stream over HTTP/1.1 may be answered before it has ended. Bodies of a known length do without: after a handler
+		// that leaves one unread, net/http would read the connection twice at once and drop it.
+		_ = control.EnableFullDuplex()
+	}
+	defer body.Stop(func() {
+		_ = control.SetReadDeadline(time.Now())
+	})
 	answer, err := g.sender.Send(ctx, call, request, body)
 	if err != nil {
 		return err
