Deciders of the gateway: placing, routes, records, news, steering, tries, clock

Change: mtplacer (waits, refuses and places; naive versions as baselines), mtroute, mtregistry, mtnews, mtsteer, mtexchange, mtclock; mtbudget tells what is left of a try. None of them reads the time, the network or a log.

--- /dev/null
+++ b/internal/core/mtplacer/admit.go
@@ -0,0 +1,202 @@
+package mtplacer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// returnSoonest is the shortest time after which a refused caller is asked to come back.
+	returnSoonest = 100 * time.Millisecond
+	// returnPart is the part of a caller's time left that it waits at most before it comes back.
+	returnPart = 1.0 / 3
+	// spareDivisor is the part of the slots that must be free for an extra attempt, as a divisor.
+	spareDivisor = 4
+	// lateShare is the part of the slots for which requests that can't be on time may wait.
+	lateShare = 0.15
+	// strained is the part of the requests that could be on time and find no room from which on late ones must not wait.
+	strained = 0.05
+	// lateReserve is the part of the slots that is kept free for requests that can still be on time.
+	lateReserve = 0.2
+)
+
+// Refusal tells why a request is not served, and when its caller should come back.
+type Refusal struct {
+	Reason string
+	// Wait is the expected time until the request's turn.
+	Wait  time.Duration
+	After time.Duration
+}
+
+// The reasons of refusals.
+const (
+	// NoEndpoint means that the service has no endpoint in use.
+	NoEndpoint = "noendpoint"
+	// Overload means that the answer would come too late.
+	Overload = "overload"
+	// NoSpare means that no slot is free for an extra attempt.
+	NoSpare = "nospare"
+)
+
+// admit decides on arrival whether a request may wait.
+func (p *Placer) admit(request *Request, now time.Time) *Refusal {
+	room := p.roomNow(now)
+	if room.endpoints == 0 {
+		return p.refuse(request, NoEndpoint, 0, now)
+	}
+	if request.Spare {
+		if !p.hasSpare(room) {
+			return p.refuse(request, NoSpare, 0, now)
+		}
+		return nil
+	}
+	request.late = !p.canBeOnTime(request, 0, room, now)
+	ahead := p.ahead(request)
+	if request.late {
+		// Where all find room that can be on time, a slot is soon left over.
+		waits := p.turned.value < strained && ahead == p.lateWaiting() && float64(ahead) < lateShare*float64(room.slots)
+		if waits || ahead < room.spare() {
+			return nil
+		}
+		return p.refuse(request, Overload, p.wait(request, ahead-room.spare()+1, room.slots), now)
+	}
+	wait := time.Duration(0)
+	if ahead >= room.free {
+		wait = p.wait(request, ahead-room.free+1, room.slots)
+	}
+	if p.canBeOnTime(request, wait, room, now) {
+		p.turned.add(0)
+		return nil
+	}
+	p.turned.add(1)
+	return p.refuse(request, Overload, wait, now)
+}
+
+// HasSpare reports whether a slot is free for an extra attempt.
+func (p *Placer) HasSpare(now time.Time) bool {
+	return p.hasSpare(p.roomNow(now))
+}
+
+func (p *Placer) hasSpare(room room) bool {
+	return len(p.queue) == 0 && room.free > room.slots/spareDivisor
+}
+
+// room is what the endpoints can take at a moment.
+type room struct {
+	endpoints int
+	// slots is the number of requests that they take at once, and free how many of these are free on hosts that are not
+	// known to be slow.
+	slots int
+	free  int
+	// factor is how much longer work takes when all slots are taken.
+	factor float64
+}
+
+// spare returns the number of free slots beyond those kept for requests that can still be on time.
+func (r room) spare() int {
+	return r.free - int(math.Ceil(lateReserve*float64(r.slots)))
+}
+
+func (p *Placer) roomNow(now time.Time) room {
+	result := room{
+		factor: 1,
+	}
+	for _, target := range p.usable(now) {
+		slots := p.room(target, now)
+		result.endpoints++
+		result.slots += slots
+		result.factor = max(result.factor, p.curve.factor(slots, target.Slots))
+		// A host whose last figure was good is not known to be slow, whatever its age.
+		if target.pace <= goodPace || !p.isSlow(target.paceNow(1, now)) {
+			result.free += max(0, slots-target.level(now))
+		}
+	}
+	return result
+}
+
+// canBeOnTime reports whether a request that starts after a wait can be answered within its objective.
+func (p *Placer) canBeOnTime(request *Request, wait time.Duration, room room, now time.Time) bool {
+	work := float64(p.workOf(request).value())
+	if wait > 0 {
+		work *= room.factor
+	}
+	return !now.Add(wait + time.Duration(work)).After(request.Objective)
+}
+
+// overdue gives up waiting requests that can no longer be on time, unless a slot is left over for them.
+//
+// Serving them first, because their objective is nearest, would make each request after them late as well.
+func (p *Placer) overdue(now time.Time) []Drop {
+	if len(p.queue) == 0 {
+		return nil
+	}
+	room := p.roomNow(now)
+	var drops []Drop
+	var late []*Request
+	rest := p.queue[:0]
+	for _, request := range p.queue {
+		switch {
+		case request.late || request.Spare || p.canBeOnTime(request, 0, room, now):
+			rest = append(rest, request)
+		default:
+			late = append(late, request)
+		}
+	}
+	clear(p.queue[len(rest):])
+	p.queue = rest
+	for _, request := range late {
+		request.late = true
+		p.turned.add(1)
+		if refusal := p.admit(request, now); refusal != nil {
+			drops = append(drops, Drop{
+				ID:      request.ID,
+				Refusal: refusal,
+			})
+			continue
+		}
+		p.insert(request)
+	}
+	return drops
+}
+
+// lateWaiting returns the number of waiting requests that can't be on time.
+func (p *Placer) lateWaiting() int {
+	count := 0
+	for _, waiting := range p.queue {
+		if waiting.late {
+			count++
+		}
+	}
+	return count
+}
+
+// ahead returns the number of waiting requests whose turn comes first.
+func (p *Placer) ahead(request *Request) int {
+	count := 0
+	for _, waiting := range p.queue {
+		if compare(waiting, request) <= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// wait estimates how long it takes until a number of slots have been freed; until the first answer, the time of the
+// request's own work stands in for that of the others.
+func (p *Placer) wait(request *Request, turns, slots int) time.Duration {
+	taken := p.taken.value
+	if !p.taken.known {
+		taken = float64(p.workOf(request).value())
+	}
+	return time.Duration(float64(turns) * taken / float64(max(1, slots)))
+}
+
+func (p *Placer) refuse(request *Request, reason string, wait time.Duration, now time.Time) *Refusal {
+	most := time.Duration(returnPart * float64(request.Deadline.Sub(now)))
+	after := max(wait, time.Duration((0.4+0.6*p.random.Float64())*float64(most)))
+	return &Refusal{
+		Reason: reason,
+		Wait:   wait,
+		After:  max(returnSoonest, min(after, most)),
+	}
+}
--- /dev/null
+++ b/internal/core/mtregistry/registry_test.go
@@ -0,0 +1,76 @@
+package mtregistry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func withEntry(id string) *Registry {
+	registry := NewRegistry()
+	registry.Put(Entry{
+		ID:      id,
+		Service: "menu",
+	}, t0)
+	return registry
+}
+
+func TestEntryRemovedWhileTheStoreWorksIsGoneAtOnce(t *testing.T) {
+	registry := withEntry("one")
+	require.True(t, registry.Remove("one", t0))
+	require.False(t, registry.Has("one"))
+}
+
+func TestEntryThatLapsedWithTheStoreMayComeBack(t *testing.T) {
+	registry := withEntry("one")
+	registry.Interrupted(t0)
+	require.False(t, registry.Remove("one", t0.Add(time.Second)))
+	require.True(t, registry.Has("one"))
+	registry.Put(Entry{
+		ID: "one",
+	}, t0.Add(2*time.Second))
+	require.Empty(t, registry.Expire(t0.Add(time.Minute)))
+	require.True(t, registry.Has("one"))
+}
+
+func TestEntryStillMissingAfterTheReturnIsGone(t *testing.T) {
+	registry := withEntry("one")
+	registry.Interrupted(t0)
+	registry.Remove("one", t0.Add(time.Second))
+	require.Empty(t, registry.Expire(t0.Add(2*time.Second)))
+	require.Equal(t, []string{"one"}, registry.Expire(t0.Add(time.Second+lapseGrace+time.Millisecond)))
+}
+
+func TestDrainingEntryNeverLapses(t *testing.T) {
+	registry := NewRegistry()
+	registry.Put(Entry{
+		ID:       "one",
+		Draining: true,
+	}, t0)
+	registry.Interrupted(t0)
+	require.True(t, registry.Remove("one", t0.Add(time.Second)), "it said itself that it leaves")
+}
+
+func TestRetainTreatsMissingEntriesAsRemoved(t *testing.T) {
+	registry := withEntry("one")
+	registry.Put(Entry{
+		ID: "two",
+	}, t0)
+	registry.Retain(map[string]bool{"two": true}, t0)
+	require.False(t, registry.Has("one"))
+	require.Equal(t, 1, registry.Len())
+}
+
+func TestWarmUpCountsFromTheMomentOfReading(t *testing.T) {
+	registry := NewRegistry()
+	registry.Put(Entry{
+		ID:     "one",
+		WarmUp: 3 * time.Second,
+	}, t0)
+	registry.Entries(func(_ Entry, warm time.Time) {
+		require.Equal(t, t0.Add(3*time.Second), warm)
+	})
+}
--- /dev/null
+++ b/internal/core/mtroute/route.go
@@ -0,0 +1,58 @@
+package mtroute
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Route says how the requests of one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent is set when a request may run more than once.
+	Idempotent bool
+	// Timeout is how long the operator wants a request kept waiting at most, or 0 without a bound.
+	Timeout time.Duration
+	// Objective is the time within which an answer is worth most, or 0 without one.
+	Objective time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// Attempts is the most endpoints that one request may be sent to.
+	Attempts int
+	// Parts are the services that share the requests of the route.
+	Parts []Part
+
+	drawn atomic.Uint64
+}
+
+// Part is a service and its weight among the services of a route.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// goldenRatio is the fractional part of the golden ratio; its multiples modulo 1 are spread evenly.
+const goldenRatio = 0.6180339887498949
+
+// Pick returns the service of the next request.
+//
+// A sequence with low discrepancy keeps the shares close to the weights also over few requests.
+func (r *Route) Pick() string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	sum := 0.0
+	for _, part := range r.Parts {
+		sum += part.Weight
+	}
+	point := float64(r.drawn.Add(1)) * goldenRatio
+	point = (point - float64(int64(point))) * sum
+	for _, part := range r.Parts {
+		if point < part.Weight {
+			return part.Service
+		}
+		point -= part.Weight
+	}
+	return r.Parts[len(r.Parts)-1].Service
+}
--- /dev/null
+++ b/internal/core/mtroute/table_test.go
@@ -0,0 +1,63 @@
+package mtroute
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func testTable() *Table {
+	return NewTable(3, nil, Limits{}, []*Route{
+		{Name: "menu", Host: "a.example", Prefix: "/menu/"},
+		{Name: "diet", Host: "a.example", Prefix: "/menu/diet/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	})
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	for target, name := range map[string]string{
+		"/menu/1":          "menu",
+		"/menu/diet/1":     "diet",
+		"/menu/diet":       "menu",
+		"/menu/?x=/diet/1": "menu",
+		"/menu":            "",
+		"/":                "",
+	} {
+		found := testTable().Find("a.example", target)
+		if name == "" {
+			require.Nil(t, found, target)
+			continue
+		}
+		require.NotNil(t, found, target)
+		require.Equal(t, name, found.Name, target)
+	}
+	require.Equal(t, "menu", testTable().Find("A.Example:8080", "/menu/1").Name)
+	require.Nil(t, testTable().Find("c.example", "/menu/1"))
+}
+
+func TestShareOfEachPartFollowsItsWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.Float64Range(1, 100), 2, 5).Draw(t, "weights")
+		route := &Route{}
+		sum := 0.0
+		for i, weight := range weights {
+			sum += weight
+			route.Parts = append(route.Parts, Part{
+				Service: string(rune('a' + i)),
+				Weight:  weight,
+			})
+		}
+		counts := map[string]float64{}
+		const requests = 300
+		for range requests {
+			counts[route.Pick()]++
+		}
+		for _, part := range route.Parts {
+			// The users allow 0.1; the sequence keeps closer than that by far.
+			if diff := counts[part.Service]/requests - part.Weight/sum; diff > 0.03 || diff < -0.03 {
+				t.Fatalf("part %s is %f off", part.Service, diff)
+			}
+		}
+	})
+}
