--- /dev/null
+++ b/internal/adapter/mtingress/server.go
@@ -0,0 +1,119 @@
+package mtingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	Header     int
+	Body       int64
+	HeaderTime time.Duration
+	Idle       time.Duration
+}
+
+// handler answers calls; nil cuts the connection.
+type handler interface {
+	Handle(ctx context.Context, call *Call) *Answer
+}
+
+// Server accepts the connections of callers.
+type Server struct {
+	listener net.Listener
+	handler  handler
+	limits   func() Limits
+	leaving  atomic.Bool
+	open     atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*connection]bool
+	group sync.WaitGroup
+}
+
+// NewServer listens at an address; limits are asked for with each request.
+func NewServer(address string, handler handler, limits func() Limits) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{
+		listener: listener,
+		handler:  handler,
+		limits:   limits,
+		conns:    map[*connection]bool{},
+	}, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// acceptPause follows a failed accept, which is mostly a lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.group.Go(func() {
+			s.serve(conn)
+		})
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	connection := newConnection(s, conn)
+	s.mu.Lock()
+	s.conns[connection] = true
+	s.mu.Unlock()
+	connection.run()
+	s.mu.Lock()
+	delete(s.conns, connection)
+	s.mu.Unlock()
+}
+
+// Open returns the number of requests that are not answered.
+func (s *Server) Open() int {
+	return int(s.open.Load())
+}
+
+// Leave makes each further answer the last one of its connection.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// Close stops accepting and closes the connections without a request.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for connection := range s.conns {
+		connection.closeIdle()
+	}
+}
+
+// Wait waits until all connections are closed or the context ends.
+func (s *Server) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/adapter/mtmesh/doc.go
@@ -0,0 +1,2 @@
+// Package mtmesh keeps the gateway instances informed of each other by datagrams.
+package mtmesh
