--- /dev/null
+++ b/internal/node/mtgateway/attempt.go
@@ -0,0 +1,441 @@
+package mtgateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
+	"github.com/mangotack/mangotack/internal/adapter/mtheader"
+	"github.com/mangotack/mangotack/internal/adapter/mtingress"
+	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtplacer"
+	"github.com/mangotack/mangotack/internal/core/mtroute"
+)
+
+const (
+	// hedgeFactor is the multiple of the expected time after which an idempotent request may be sent to a second endpoint.
+	hedgeFactor = 2.5
+	// hedgeLeast keeps short requests from being sent twice for a scheduling delay.
+	hedgeLeast = 60 * time.Millisecond
+	// hedgeAgain is the time between two tries to find a second endpoint.
+	hedgeAgain = 100 * time.Millisecond
+	// freeRetries bounds the attempts of which no byte has left, which no endpoint counts.
+	freeRetries = 3
+)
+
+// timedOut is the reason of a refusal at the end of a request's time.
+const timedOut = "timeout"
+
+// attempt serves one request of a caller, with as many endpoints as its route allows.
+type attempt struct {
+	gateway   *Gateway
+	call      *mtingress.Call
+	route     *mtroute.Route
+	table     *mtroute.Table
+	service   string
+	id        string
+	objective time.Time
+	end       time.Time
+
+	results chan result
+	// running is the number of endpoints, or places in the queue, that the request has at present.
+	running int
+	// sent is the number of endpoints that the request was sent to, and unsent the tries of which no byte left.
+	sent   int
+	unsent int
+	// granted are the endpoints that the request was bound to; the goroutines of the tries add to them.
+	granted grants
+	// refusal is the last refusal of the placer.
+	refusal *mtplacer.Refusal
+	// mayRun is set from the moment at which an endpoint may have run the request without an answer.
+	mayRun bool
+	// spare is the answer that is used when no better one comes, and spareOf the endpoint that it is of.
+	spare   *mtupstream.Reply
+	spareOf mtplacer.Grant
+	after   time.Duration
+	why     string
+	// denied is set when the budget had no further attempt at the last question.
+	denied bool
+	// cancel ends all tries, and each of cancels the try of its number that is under way.
+	cancel  context.CancelFunc
+	cancels map[int]context.CancelFunc
+	number  int
+}
+
+// result is the end of one try.
+type result struct {
+	number  int
+	cancel  context.CancelFunc
+	refusal *mtplacer.Refusal
+	grant   mtplacer.Grant
+	reply   *mtupstream.Reply
+	fate    mtupstream.Fate
+	err     error
+	hedge   bool
+}
+
+func newAttempt(gateway *Gateway, call *mtingress.Call, route *mtroute.Route, table *mtroute.Table) *attempt {
+	id, objective, end := gateway.bounds(route, call.Request.Header, call.Arrived)
+	return &attempt{
+		gateway:   gateway,
+		call:      call,
+		route:     route,
+		table:     table,
+		service:   route.Pick(),
+		id:        id,
+		objective: objective,
+		end:       end,
+		results:   make(chan result, route.Attempts+freeRetries+1),
+		cancels:   map[int]context.CancelFunc{},
+	}
+}
+
+// run returns the answer, or nil when the caller has left.
+func (a *attempt) run(ctx context.Context) *mtingress.Answer {
+	tries, cancel := context.WithDeadline(ctx, a.end)
+	a.cancel = cancel
+	a.gateway.budget(a.service).call(a.call.Arrived)
+	a.try(tries, false)
+	hedge := time.NewTimer(a.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		select {
+		case result := <-a.results:
+			a.running--
+			delete(a.cancels, result.number)
+			if answer := a.take(tries, result); answer != nil {
+				return answer
+			}
+		case <-hedge.C:
+			a.tryHedge(tries)
+			hedge.Reset(hedgeAgain)
+		case <-tries.Done():
+			return a.giveUp(ctx)
+		}
+	}
+}
+
+// hedgeAfter returns when a second endpoint is tried for a request without an answer.
+func (a *attempt) hedgeAfter() time.Duration {
+	if !a.route.Idempotent || a.route.Attempts < 2 {
+		return time.Until(a.end) + time.Second
+	}
+	expected := a.gateway.expected(a.service, a.request())
+	return max(hedgeLeast, time.Duration(hedgeFactor*float64(expected)))
+}
+
+func (a *attempt) request() *mtplacer.Request {
+	return &mtplacer.Request{
+		Route:     a.route.Name,
+		Arrived:   a.call.Arrived,
+		Objective: a.objective,
+		Deadline:  a.end,
+		Priority:  a.route.Priority,
+		Avoid:     a.granted.endpoints(),
+	}
+}
+
+// try looks for an endpoint and sends the request there.
+func (a *attempt) try(ctx context.Context, hedge bool) {
+	a.running++
+	a.number++
+	number := a.number
+	own, cancel := context.WithCancel(ctx)
+	a.cancels[number] = cancel
+	request := a.request()
+	request.Spare = hedge
+	go func() {
+		found := result{}
+		asked := time.Now()
+		grant, refusal := a.gateway.place(own, a.service, request)
+		if refusal != nil {
+			found.refusal = refusal
+		} else {
+			a.granted.add(grant)
+			a.gateway.meter.wait(a.service, time.Since(asked))
+			found = a.send(own, grant)
+		}
+		found.number = number
+		found.cancel = cancel
+		found.hedge = hedge
+		a.results <- found
+	}()
+}
+
+// send sends the request to the endpoint that was granted.
+func (a *attempt) send(ctx context.Context, grant mtplacer.Grant) result {
+	started := time.Now()
+	header := forwarded(a.call.Request.Header)
+	a.gateway.exchange.MarkCall(header, grant.Target.ID, time.Until(a.end))
+	reply, fate, err := a.gateway.pool.Send(ctx, mtupstream.Order{
+		Address:    grant.Target.Address,
+		Method:     a.call.Request.Method,
+		Target:     a.call.Request.RequestURI,
+		Host:       a.call.Request.Host,
+		Header:     header,
+		Body:       a.call.Body,
+		Attempt:    a.id,
+		Idempotent: a.route.Idempotent,
+	}, a.end)
+	now := time.Now()
+	verdict := a.verdict(ctx, reply, fate)
+	var report *mtplacer.Report
+	size := int64(0)
+	if reply != nil {
+		size = max(reply.Length, int64(len(reply.Body)))
+	}
+	if reply != nil && reply.Stated.Reported {
+		report = &reply.Stated.Report
+	}
+	a.gateway.finish(a.service, a.route.Name, grant, mtplacer.Result{
+		Verdict: verdict,
+		Took:    now.Sub(started),
+		Size:    size,
+	}, report, now)
+	a.gateway.meter.attempt(a.service, verdict)
+	if verdict == mtplacer.Failed || verdict == mtplacer.Shed {
+		a.logFailure(grant, reply, err, started, now)
+	}
+	return result{
+		grant: grant,
+		reply: reply,
+		fate:  fate,
+		err:   err,
+	}
+}
+
+func (a *attempt) verdict(ctx context.Context, reply *mtupstream.Reply, fate mtupstream.Fate) mtplacer.Verdict {
+	switch {
+	case ctx.Err() != nil && fate != mtupstream.Answered:
+		if time.Now().Before(a.end) {
+			return mtplacer.Abandoned
+		}
+		return mtplacer.Failed
+	case fate != mtupstream.Answered:
+		return mtplacer.Failed
+	case reply.Stated.NotRun:
+		return mtplacer.Shed
+	case reply.Status >= http.StatusInternalServerError:
+		return mtplacer.Failed
+	default:
+		return mtplacer.Served
+	}
+}
+
+// take decides on the result of one try; nil means that the request goes on.
+func (a *attempt) take(ctx context.Context, r result) *mtingress.Answer {
+	if r.refusal != nil {
+		r.cancel()
+		return a.takeRefusal(ctx, r)
+	}
+	if r.fate != mtupstream.Unsent {
+		a.sent++
+	} else {
+		a.unsent++
+	}
+	ran := false
+	switch {
+	case r.fate == mtupstream.Lost:
+		ran = true
+		a.why = "lost"
+	case r.fate == mtupstream.Unsent:
+		a.why = "unreached"
+	case r.reply.Stated.NotRun:
+		a.why = "shed"
+		a.drop(r.reply)
+	case r.reply.Status >= http.StatusInternalServerError && a.route.Idempotent && r.reply.Rest == nil:
+		ran = true
+		a.why = "failed"
+		a.spare, a.spareOf = r.reply, r.grant
+	default:
+		return a.pass(r.reply, r.grant, r.cancel)
+	}
+	r.cancel()
+	a.mayRun = a.mayRun || ran
+	if a.mayRetry(ran) {
+		a.try(ctx, false)
+		return nil
+	}
+	if a.running > 0 {
+		return nil
+	}
+	return a.fail()
+}
+
+// takeRefusal decides on a try that found no endpoint.
+func (a *attempt) takeRefusal(ctx context.Context, r result) *mtingress.Answer {
+	if !r.hedge {
+		a.why = r.refusal.Reason
+		a.refusal = r.refusal
+		a.after = r.refusal.After
+	}
+	switch {
+	case a.running > 0 || r.refusal.Reason == expired:
+		return nil
+	case r.hedge && a.mayRetry(a.mayRun):
+		// The first endpoint has failed while the second was being looked for.
+		a.try(ctx, false)
+		return nil
+	default:
+		return a.fail()
+	}
+}
+
+// mayRetry reports whether another endpoint may have the request.
+func (a *attempt) mayRetry(ran bool) bool {
+	if ran && !a.route.Idempotent || a.sent+a.running >= a.route.Attempts || a.unsent > freeRetries {
+		return false
+	}
+	now := time.Now()
+	if !now.Before(a.end) {
+		return false
+	}
+	return a.sent == 0 || a.takeRepeat("retry", now)
+}
+
+// takeRepeat asks the budget for one more attempt.
+func (a *attempt) takeRepeat(kind string, now time.Time) bool {
+	allowed, left := a.gateway.budget(a.service).take(now)
+	a.gateway.meter.repeat(a.service, kind, allowed)
+	if allowed || !a.denied {
+		a.logRepeat(kind, allowed, left, now)
+	}
+	a.denied = !allowed
+	return allowed
+}
+
+// tryHedge sends an idempotent request to a second endpoint that is free, while the first has not answered.
+func (a *attempt) tryHedge(ctx context.Context) {
+	now := time.Now()
+	if !a.route.Idempotent || a.running != 1 || a.sent+2 > a.route.Attempts || !a.gateway.hasSpare(a.service, now) {
+		return
+	}
+	if a.takeRepeat("hedge", now) {
+		a.try(ctx, true)
+	}
+}
+
+// pass hands the answer of the endpoint of a grant to the caller and drops the other tries; cancel ends the try that the answer
+// is of.
+func (a *attempt) pass(reply *mtupstream.Reply, grant mtplacer.Grant, cancel context.CancelFunc) *mtingress.Answer {
+	a.settle()
+	took := time.Since(a.call.Arrived)
+	a.gateway.meter.call(a.service, "answered", took)
+	a.gateway.traffic.add(float64(max(reply.Length, int64(len(reply.Body)))), time.Now())
+	a.logAnswer(reply, grant, took)
+	header := http.Header{}
+	mtheader.CopyEndToEnd(header, reply.Header)
+	answer := &mtingress.Answer{
+		Status: reply.Status,
+		Header: header,
+		Body:   reply.Body,
+		Rest:   reply.Rest,
+		Length: reply.Length,
+	}
+	if reply.Rest == nil {
+		cancel()
+		a.cancel()
+		return answer
+	}
+	answer.Written = func(bool) {
+		cancel()
+		a.cancel()
+	}
+	return answer
+}
+
+// settle ends the tries that are still under way, and drops their answers.
+func (a *attempt) settle() {
+	for _, cancel := range a.cancels {
+		cancel()
+	}
+	for range a.running {
+		go func() {
+			r := <-a.results
+			a.drop(r.reply)
+		}()
+	}
+	a.running = 0
+}
+
+func (a *attempt) drop(reply *mtupstream.Reply) {
+	if reply != nil && reply.Rest != nil {
+		_ = reply.Rest.Close()
+	}
+}
+
+// fail answers a request that no endpoint has answered.
+func (a *attempt) fail() *mtingress.Answer {
+	if a.spare != nil {
+		return a.pass(a.spare, a.spareOf, a.cancel)
+	}
+	a.settle()
+	a.cancel()
+	now := time.Now()
+	took := now.Sub(a.call.Arrived)
+	status := http.StatusServiceUnavailable
+	switch {
+	case a.mayRun && now.Before(a.end):
+		status = http.StatusBadGateway
+	case a.mayRun:
+		// The last try ended with the request's time, and its end was seen before the request's.
+		status = http.StatusGatewayTimeout
+		a.why = timedOut
+	}
+	a.gateway.meter.call(a.service, a.why, took)
+	a.logEnd(status, took)
+	if a.mayRun {
+		return refuse(status, a.why, 0)
+	}
+	after := a.after
+	if after <= 0 {
+		after = min(retryShed, time.Until(a.end)/3)
+	}
+	return refuse(status, a.why, max(after, retryLeast))
+}
+
+const (
+	// retryShed is when a caller should come back after endpoints that took no request, and retryLeast the least.
+	retryShed  = 250 * time.Millisecond
+	retryLeast = 20 * time.Millisecond
+)
+
+// giveUp answers a request whose time is over, or nothing to a caller that has left.
+func (a *attempt) giveUp(ctx context.Context) *mtingress.Answer {
+	defer a.cancel()
+	if ctx.Err() != nil {
+		a.settle()
+		took := time.Since(a.call.Arrived)
+		a.gateway.meter.call(a.service, "left", took)
+		a.gateway.journal.log(mtevent.CallLeft, ordinary, a.fields(took, nil))
+		return nil
+	}
+	took := time.Since(a.call.Arrived)
+	// The tries end at the same moment; each tells whether the request may have run.
+	for range a.running {
+		r := <-a.results
+		if r.refusal != nil {
+			continue
+		}
+		a.sent++
+		if r.fate == mtupstream.Answered && !r.reply.Stated.NotRun && r.reply.Rest == nil {
+			a.running = 0
+			return a.pass(r.reply, r.grant, r.cancel)
+		}
+		a.drop(r.reply)
+		a.mayRun = a.mayRun || r.fate == mtupstream.Lost
+	}
+	a.running = 0
+	if a.spare != nil {
+		return a.pass(a.spare, a.spareOf, a.cancel)
+	}
+	status := http.StatusServiceUnavailable
+	if a.mayRun {
+		status = http.StatusGatewayTimeout
+	}
+	a.why = timedOut
+	a.gateway.meter.call(a.service, a.why, took)
+	a.logEnd(status, took)
+	return refuse(status, a.why, 0)
+}
--- /dev/null
+++ b/internal/node/mtgateway/steer.go
@@ -0,0 +1,202 @@
+package mtgateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
+	"github.com/mangotack/mangotack/internal/core/mtclock"
+	"github.com/mangotack/mangotack/internal/core/mtnews"
+	"github.com/mangotack/mangotack/internal/core/mtsteer"
+	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
+)
+
+const (
+	// steerPeriod is the time between two choices of the instances with a role, unless a row calls for one sooner.
+	steerPeriod = 250 * time.Millisecond
+	// chooseGap is the least time between two choices: in a restart of all, rows of some hundred instances come within 100 ms.
+	chooseGap = 20 * time.Millisecond
+	// meetTime is how long after its start an instance waits for the others before it reads for them.
+	meetTime = 150 * time.Millisecond
+	// holdTime is how long callers may keep an answer of the directory: short, so that they leave a lost instance soon.
+	holdTime = 1500 * time.Millisecond
+	// crewSlackPart and otherSlackPart are the parts of the retry slack that the instances that callers are sent to, and
+	// the others, share evenly; they add up to less than one, because views differ for moments.
+	crewSlackPart  = 0.5
+	otherSlackPart = 0.3
+	// crewLookPart and otherLookPart are the same for the budget of looks at an endpoint.
+	crewLookPart  = 0.7
+	otherLookPart = 0.2
+	// lookRateLeast is the number of requests a second below which an instance that callers are not sent to makes no looks:
+	// its few requests would open a connection for each look.
+	lookRateLeast = 5
+)
+
+// steering is what the last choice came to.
+type steering struct {
+	crew []mtsteer.Candidate
+}
+
+// noticed makes the next choice come at once.
+func (g *Gateway) noticed() {
+	select {
+	case g.steerWake <- struct{}{}:
+	default:
+	}
+}
+
+// steer chooses the instances with a role until the context ends.
+func (g *Gateway) steer(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	strain := mtsteer.Strain{}
+	clock := mtclock.Steps{}
+	due := time.Now()
+	chosen := time.Time{}
+	for {
+		var now time.Time
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			now = time.Now()
+			strain.Woke(due, now)
+		case <-g.steerWake:
+			now = time.Now()
+			if left := chooseGap - now.Sub(chosen); left > 0 {
+				due = now.Add(left)
+				timer.Reset(left)
+				continue
+			}
+		}
+		chosen = now
+		if step := clock.Read(now); step != 0 {
+			mtevent.ClockStepped.Log(g.logger, logrus.Fields{
+				"by": step.String(),
+			})
+		}
+		g.strained.Store(strain.IsStrained(now))
+		g.chooseRoles(now)
+		g.expire(now)
+		pause := steerPeriod
+		if left := meetTime - now.Sub(g.started); left > 0 {
+			pause = min(pause, left)
+		}
+		due = time.Now().Add(pause)
+		timer.Reset(pause)
+	}
+}
+
+func (g *Gateway) chooseRoles(now time.Time) {
+	g.choosing.Lock()
+	defer g.choosing.Unlock()
+	candidates := g.candidates(now)
+	crew := g.crews.Choose(candidates, g.settings().Instance, now)
+	readers := mtsteer.Readers(candidates)
+	isSelf := func(candidate mtsteer.Candidate) bool {
+		return candidate.Name == g.settings().Instance
+	}
+	role := mtnews.Listener
+	switch place := slices.IndexFunc(readers, isSelf); {
+	case now.Sub(g.started) < meetTime:
+		// A restart of all would make each one a reader until it hears of the others.
+	case place == 0:
+		role = mtnews.Reader
+	case place == 1:
+		role = mtnews.Standby
+	}
+	changed := g.reads.Swap(int32(role)) != int32(role)
+	g.rankFeeds(mtsteer.Place(candidates, g.settings().Instance))
+	inCrew := slices.ContainsFunc(crew, isSelf)
+	changed = g.inCrew.Swap(inCrew) != inCrew || changed
+	g.steering.Store(&steering{
+		crew: crew,
+	})
+	g.shareBudgets(inCrew, len(crew), len(candidates))
+	if !changed {
+		return
+	}
+	mtevent.RoleChanged.Log(g.logger, logrus.Fields{
+		"reads":    role.String(),
+		"receives": inCrew,
+		"known":    len(candidates),
+	})
+	for _, f := range g.news.feeds {
+		f.notify()
+	}
+	g.mesh.Beat(now)
+}
+
+func (g *Gateway) candidates(now time.Time) []mtsteer.Candidate {
+	var candidates []mtsteer.Candidate
+	for _, standing := range g.mesh.Standings(now) {
+		row := standing.Row
+		candidate := mtsteer.Candidate{
+			Name:     row.GetInstance(),
+			Centre:   row.GetCentre(),
+			Calls:    row.GetCalls(),
+			Epoch:    row.GetEpoch(),
+			Capacity: float64(row.GetCapacity()),
+			Link:     float64(row.GetLink()),
+			Traffic:  float64(row.GetTraffic()),
+			Rate:     float64(row.GetRate()),
+			Ready:    row.GetReady(),
+			Leaving:  row.GetLeaving(),
+			Cut:      row.GetCut(),
+			Age:      ageOf(row),
+			Strained: row.GetStrained(),
+			Silence:  standing.Silence,
+		}
+		if row.GetInstance() == g.settings().Instance {
+			candidate.Ready = g.isReady()
+			candidate.Leaving = g.leaving.Load()
+			candidate.Strained = g.strained.Load()
+			candidate.Silence = 0
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+// ageOf returns the age of the oldest of an instance's news, or 0 when it has none, which its row tells by not being ready.
+func ageOf(row *peerv1.Row) time.Duration {
+	oldest := uint64(0)
+	for _, standing := range row.GetStandings() {
+		oldest = max(oldest, standing.GetAge())
+	}
+	return time.Duration(oldest) * time.Millisecond
+}
+
+// addresses returns where callers connect, and for how long they may keep the answer.
+func (g *Gateway) addresses(_, _ string) ([]string, time.Duration) {
+	found := g.steering.Load()
+	if found == nil {
+		return nil, 0
+	}
+	addresses := make([]string, 0, len(found.crew))
+	for _, member := range found.crew {
+		addresses = append(addresses, member.Calls)
+	}
+	return addresses, min(holdTime, g.settings().Hold)
+}
+
+// shareBudgets divides the slack of the retry budget, and the looks at endpoints, among the instances.
+func (g *Gateway) shareBudgets(inCrew bool, crew, known int) {
+	slack, looks, sharers := otherSlackPart, otherLookPart, max(1, known)
+	if inCrew {
+		slack, looks, sharers = crewSlackPart, crewLookPart, max(1, crew)
+	}
+	g.budgets.setSlack(slack * g.settings().RetrySlack / float64(sharers))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.looks = looks * g.settings().Probes / float64(sharers)
+	if !inCrew && g.rate.load() < lookRateLeast {
+		g.looks = 0
+	}
+	for _, placer := range g.placers {
+		placer.SetLooks(g.looks)
+	}
+}
--- /dev/null
+++ b/internal/verb/mtstory/story_test.go
@@ -0,0 +1,73 @@
+package mtstory
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const log = `{"event":100,"instance":"i-1","msg":"instance started","time":"2026-01-01T00:00:00Z"}
+text that is not a line
+collector: {"event":510,"id":"a","endpoint":"e-1","took":7,"msg":"failed","time":"2026-01-01T00:00:02Z"}
+{"event":512,"id":"b","endpoint":"e-2","status":200,"took":9,"msg":"answered","time":"2026-01-01T00:00:01Z"}
+{"event":111,"ordinary":4,"msg":"left out","time":"2026-01-01T00:00:02.5Z"}
+{"event":111,"ordinary":4,"msg":"left out","time":"2026-01-01T00:01:00Z"}
+`
+
+func read(t *testing.T) []Line {
+	t.Helper()
+	lines, err := Read(strings.NewReader(log), "file")
+	require.NoError(t, err)
+	require.Len(t, lines, 5)
+	return lines
+}
+
+func TestLinesAreNamedByTheLineOfStart(t *testing.T) {
+	for _, line := range read(t) {
+		require.Equal(t, "i-1", line.Instance)
+	}
+}
+
+func TestStoryHoldsTheLinesOfOneRequestAndTheGapsNearThem(t *testing.T) {
+	story := Tell("a", read(t))
+	require.Len(t, story.Lines, 1)
+	require.Len(t, story.Gaps, 1)
+	require.Equal(t, "endpoint e-1 failed after 7 ms; how the request ended is not in these logs", story.Cause)
+	require.Equal(t, "endpoint e-2 answered with status 200 after 9 ms", Tell("b", read(t)).Cause)
+}
+
+func TestRequestThatNoLineNamesIsSaidToBeSo(t *testing.T) {
+	require.Equal(t, "no line names the request; 2 lines tell that others were left out", Tell("c", read(t)).Cause)
+	require.Equal(t, "no line names the request", Tell("c", nil).Cause)
+}
+
+func TestWholeTimeLineIsInTheOrderOfTime(t *testing.T) {
+	story := Tell("", read(t))
+	require.Len(t, story.Lines, 5)
+	require.Empty(t, story.Cause)
+	for i := range story.Lines[1:] {
+		require.False(t, story.Lines[i+1].Time.Before(story.Lines[i].Time))
+	}
+}
+
+func TestLinesOfACollectorAreNamedByWhatStandsBefore(t *testing.T) {
+	for _, prefix := range []string{"   1.250 front-2 ", "front-2 | ", "front-2:"} {
+		lines, err := Read(strings.NewReader(prefix+`{"event":512,"id":"a"}`), "merged.log")
+		require.NoError(t, err)
+		require.Equal(t, "front-2", lines[0].Instance)
+	}
+}
+
+// A request whose instance was killed has no line; the log tells at least which instances that may have been.
+func TestInstancesThatEndedWithoutAWordAreTold(t *testing.T) {
+	start := `{"event":100,"time":"2026-12-04T10:00:00Z"}`
+	again := `{"event":100,"time":"2026-12-04T10:00:09Z"}`
+	other := `{"event":240,"time":"2026-12-04T10:00:04Z"}`
+	stop := `{"event":102,"time":"2026-12-04T10:00:05Z"}`
+	text := "i-1 " + start + "\ni-1 " + other + "\ni-1 " + again + "\ni-2 " + start + "\ni-2 " + stop + "\ni-2 " + again
+	lines, err := Read(strings.NewReader(text), "merged.log")
+	require.NoError(t, err)
+	require.Equal(t, "no line names the request; these instances ended without a word: i-1 between 10:00:04.000 and 10:00:09.000",
+		Tell("a", lines).Cause)
+}
--- /dev/null
+++ b/internal/verb/mtverb/explain.go
@@ -0,0 +1,57 @@
+package mtverb
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/mangotack/mangotack/internal/verb/mtstory"
+)
+
+func newExplainCommand() *cobra.Command {
+	id := ""
+	asJSON := false
+	command := &cobra.Command{
+		Use:   "explain [--id ID] FILE...",
+		Short: "Tell from logs what became of a request",
+		Long: "Merges the logs of several instances by time, prints the lines of the request with the ID, lines\n" +
+			"about what is missing, and the cause. Without --id it prints the whole time line.",
+		Example: "  mangotack explain --id 9c41d07be2a35f68 entry-1.log entry-2.log",
+		Args:    files,
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return tellStory(command, id, asJSON, arguments)
+		},
+	}
+	command.Flags().StringVar(&id, "id", "", "ID of the request, as its caller sent it")
+	command.Flags().BoolVar(&asJSON, "json", false, "print one JSON object for programs")
+	return command
+}
+
+func tellStory(command *cobra.Command, id string, asJSON bool, files []string) error {
+	var lines []mtstory.Line
+	for _, file := range files {
+		read, err := readLog(file)
+		if err != nil {
+			return fmt.Errorf("explain: %w", err)
+		}
+		lines = append(lines, read...)
+	}
+	story := mtstory.Tell(id, lines)
+	if asJSON {
+		encoder := json.NewEncoder(command.OutOrStdout())
+		encoder.SetEscapeHTML(false)
+		return encoder.Encode(story)
+	}
+	return story.Write(command.OutOrStdout())
+}
+
+func readLog(file string) ([]mtstory.Line, error) {
+	from, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer from.Close()
+	return mtstory.Read(from, file)
+}
--- a/internal/verb/mtverb/table.go
+++ b/internal/verb/mtverb/table.go
@@ -25,6 +25,8 @@
 var verbs = []func() *cobra.Command{
 	newAmendCommand,
 	newCheckCommand,
+	newExplainCommand,
+	newGatewayCommand,
 	newHashCommand,
 	newLogCommand,
 	newMarkCommand,
