--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -138,7 +138,7 @@
 func TestMetricsPageListsTheMetrics(t *testing.T) {
 	names := regexp.MustCompile(`mangotack_[a-z_]+`)
 	inCode := map[string]bool{}
-	for _, pattern := range []string{"../internal/adapter/mtmeter/*.go", "../internal/node/mtnode/*.go"} {
+	for _, pattern := range []string{"../internal/adapter/mtmeter/*.go", "../internal/node/mtnode/*.go", "../internal/node/mtgateway/*.go"} {
 		files, err := filepath.Glob(pattern)
 		require.NoError(t, err)
 		for _, file := range files {
