A connection accepted while the server closes is closed, and counted under the lock

Serve counted an accepted connection in the WaitGroup without an order to Wait, and entered it in the table in another goroutine. So a connection accepted around Close was neither closed as idle nor refused: Wait waited for it until its idle time, or not at all.

Ruled out: the tests' own goroutines; a replay of the stack over a listener that accepts late shows the same two frames.

Change: one lock covers the table, the count and the mark of closing; what is accepted after Close is closed at once, unread.

--- a/internal/adapter/mtingress/connection.go
+++ b/internal/adapter/mtingress/connection.go
@@ -81,6 +81,12 @@
 	}
 }
 
+// abandon closes a connection that is not served.
+func (c *connection) abandon() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
 // run serves the connection until it ends.
 func (c *connection) run() {
 	defer c.conn.Close()
--- a/internal/adapter/mtingress/server.go
+++ b/internal/adapter/mtingress/server.go
@@ -30,9 +30,10 @@
 	leaving  atomic.Bool
 	open     atomic.Int64
 
-	mu    sync.Mutex
-	conns map[*connection]bool
-	group sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
+	conns  map[*connection]bool
+	group  sync.WaitGroup
 }
 
 // NewServer listens at an address; limits are asked for with each request.
@@ -41,12 +42,16 @@
 	if err != nil {
 		return nil, err
 	}
+	return newServer(listener, handler, limits), nil
+}
+
+func newServer(listener net.Listener, handler handler, limits func() Limits) *Server {
 	return &Server{
 		listener: listener,
 		handler:  handler,
 		limits:   limits,
 		conns:    map[*connection]bool{},
-	}, nil
+	}
 }
 
 // Address returns where the server listens.
@@ -68,21 +73,27 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		s.group.Go(func() {
-			s.serve(conn)
-		})
+		s.serve(conn)
 	}
 }
 
+// serve starts the goroutine of a connection, or closes one that was accepted while the server closed: Wait must not
+// overlap with connections that it does not count.
 func (s *Server) serve(conn net.Conn) {
 	connection := newConnection(s, conn)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		connection.abandon()
+		return
+	}
 	s.conns[connection] = true
-	s.mu.Unlock()
-	connection.run()
-	s.mu.Lock()
-	delete(s.conns, connection)
-	s.mu.Unlock()
+	s.group.Go(func() {
+		connection.run()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, connection)
+	})
 }
 
 // Open returns the number of requests that are not answered.
@@ -100,12 +111,13 @@
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for connection := range s.conns {
 		connection.closeIdle()
 	}
 }
 
-// Wait waits until all connections are closed or the context ends.
+// Wait waits, after Close, until all connections are closed or the context ends.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
--- a/internal/adapter/mtingress/server_test.go
+++ b/internal/adapter/mtingress/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -221,3 +222,63 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 7, response.ContentLength)
 }
+
+// lateListener accepts one connection only after it has been closed, as the kernel may.
+type lateListener struct {
+	conn   net.Conn
+	closed chan struct{}
+	given  bool
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	if l.given {
+		return nil, net.ErrClosed
+	}
+	l.given = true
+	return l.conn, nil
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *lateListener) Addr() net.Addr {
+	return &net.TCPAddr{}
+}
+
+func TestConnectionAcceptedWhileTheServerClosesIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		server := newServer(&lateListener{
+			conn:   far,
+			closed: make(chan struct{}),
+		}, handlerFunc(echo), func() Limits { return Limits{} })
+		go func() { _ = server.Serve() }()
+		server.Close()
+		_, err := near.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		server.Wait(t.Context())
+	})
+}
+
+// The race detector reports an accept that is not ordered with the wait for the connections.
+func TestWaitingForConnectionsWhileOneArrives(t *testing.T) {
+	for range 2000 {
+		near, far := net.Pipe()
+		require.NoError(t, near.Close())
+		server := newServer(&lateListener{
+			conn:   far,
+			closed: make(chan struct{}),
+		}, handlerFunc(echo), func() Limits { return Limits{} })
+		ended := make(chan struct{})
+		go func() {
+			_ = server.Serve()
+			close(ended)
+		}()
+		server.Close()
+		server.Wait(t.Context())
+		<-ended
+	}
+}
