A connection is reused only after net/http's reader has drained it

The second answer of an endpoint lies in net/http's buffer when the first one is whole. Its reader closes the connection when it looks there, but a call that takes the connection before that look got the second answer as its own.

Change: mtpool watches the reads of an HTTP/1.1 connection; a call takes an idle one only while net/http waits in Read, that is with an empty buffer, and drops one that was closed.

--- a/internal/adapter/mtpool/conn.go
+++ b/internal/adapter/mtpool/conn.go
@@ -10,6 +10,8 @@
 	pool    *Pool
 	address string
 	client  *http.ClientConn
+	// reading is nil for HTTP/2, whose answers name their requests.
+	reading *reader
 	shared  bool
 
 	// The fields below are guarded by the pool's mutex.
@@ -26,6 +28,10 @@
 	}
 }
 
+func (c *Conn) isQuiet() bool {
+	return c.reading == nil || c.reading.isQuiet()
+}
+
 // RoundTrip sends one request, once.
 func (c *Conn) RoundTrip(request *http.Request) (*http.Response, error) {
 	return c.client.RoundTrip(request)
--- a/internal/adapter/mtpool/pool.go
+++ b/internal/adapter/mtpool/pool.go
@@ -78,7 +78,7 @@
 // NewPool returns a pool that opens its connections with a dial.
 func NewPool(dial Dial) *Pool {
 	return &Pool{
-		http1: newTransport(dial, false),
+		http1: newTransport(watched(dial), false),
 		h2c:   newTransport(dial, true),
 		sets:  map[string]*set{},
 	}
@@ -105,11 +105,19 @@
 	if target.Limit <= 0 {
 		target.Limit = defaultLimit
 	}
-	conn, err := p.reuse(target, now)
-	if conn != nil || err != nil {
-		return conn, err
+	for {
+		conn, err := p.reuse(target, now)
+		if err != nil {
+			return nil, err
+		}
+		if conn == nil {
+			return p.dial(ctx, target)
+		}
+		if conn.isQuiet() {
+			return conn, nil
+		}
+		conn.Release(false, now)
 	}
-	return p.dial(ctx, target)
 }
 
 // reuse returns an idle connection, or nil after it has counted a new one against the cap.
@@ -154,7 +162,8 @@
 	if target.H2C {
 		transport = p.h2c
 	}
-	client, err := transport.NewClientConn(ctx, "http", target.Address)
+	var reading *reader
+	client, err := transport.NewClientConn(context.WithValue(ctx, readerKey{}, &reading), "http", target.Address)
 	if err == nil {
 		err = client.Reserve()
 	}
@@ -168,6 +177,7 @@
 		pool:    p,
 		address: target.Address,
 		client:  client,
+		reading: reading,
 		shared:  target.H2C,
 		users:   1,
 	}
--- a/internal/adapter/mtpool/replay_test.go
+++ b/internal/adapter/mtpool/replay_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -170,3 +172,56 @@
 		require.ErrorContains(t, err, "2 connections to endpoint:80 are in use")
 	})
 }
+
+// answerTwice answers each request of each connection twice, in one write, with the body of the request.
+func answerTwice(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(request.Body)
+				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				if _, err := io.WriteString(conn, answer+answer); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// The next call competes with the reader of net/http, which has the second answer in its buffer; without a check one call
+// in some thousand got the answer of the call before.
+func TestSecondAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := mtmemory.NewNetwork()
+		listener := network.Listen("endpoint:80")
+		defer listener.Close()
+		go answerTwice(listener)
+		pool := mtpool.NewPool(network.Dial)
+		for i := range 10000 {
+			sent := strconv.Itoa(i)
+			conn, err := pool.Get(t.Context(), mtpool.Target{
+				Address: "endpoint:80",
+				Limit:   4,
+			}, time.Now())
+			require.NoError(t, err)
+			response, err := conn.RoundTrip(newRequest(t, http.MethodPost, sent, http.Header{}))
+			require.NoError(t, err)
+			received, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, sent, string(received))
+			conn.Release(true, time.Now())
+		}
+		time.Sleep(time.Minute)
+		pool.Sweep(time.Now())
+	})
+}
