An instance that starts waits for the others only while more turn up

The log shows 0.55 s until the processes start again, 0.2 s until they know the configuration, of which 0.15 s are the wait for other instances, though all 18 turn up within 30 ms, and refusals meanwhile; what comes back later then overloads the endpoints.

Change: mtopening decides: 60 ms, as long as instances turn up within 30 ms of each other up to 150 ms, 150 ms if there is nobody.

--- /dev/null
+++ b/internal/core/mtopening/opening.go
@@ -0,0 +1,63 @@
+// Load pattern: all instances restart at once and their callers come back before they know the configuration and the endpoints.
+// One that takes itself for the only one reads the store, as would each of them; one that waits for the others longer than needed
+// refuses callers meanwhile. So an instance waits until no further ones turn up, within bounds.
+
+package mtopening
+
+import "time"
+
+const (
+	// meetLeast is the shortest wait: a few exchanges of first heartbeats, which take 10 to 30 ms on a busy host.
+	meetLeast = 60 * time.Millisecond
+	// meetMost is the longest wait, for an instance that hears nobody or to whom others turn up all the time.
+	meetMost = 150 * time.Millisecond
+	// meetQuiet is the time without a further instance after which those known are taken for all: 141 instances that start on
+	// one host turn up every few milliseconds.
+	meetQuiet = 30 * time.Millisecond
+)
+
+// Opening is the start of an instance, until it has met the others.
+type Opening struct {
+	// Started is the moment of the start.
+	Started time.Time
+
+	known int
+	grown time.Time
+	over  bool
+}
+
+// Heard records how many other instances are known.
+func (o *Opening) Heard(known int, now time.Time) {
+	if known > o.known {
+		o.known, o.grown = known, now
+	}
+}
+
+// Left returns how long the instance goes on waiting for the others unless more turn up, and 0 from the moment on at which it has
+// met them.
+func (o *Opening) Left(now time.Time) time.Duration {
+	if o.over {
+		return 0
+	}
+	end := o.Started.Add(meetMost)
+	if o.known > 0 {
+		end = earliest(end, latest(o.Started.Add(meetLeast), o.grown.Add(meetQuiet)))
+	}
+	left := max(0, end.Sub(now))
+	o.over = left == 0
+	return left
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/mtopening/opening_test.go
@@ -0,0 +1,80 @@
+package mtopening
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// meet returns how long an instance waits for the others when one more turns up at each of the times after its start.
+func meet(times ...time.Duration) time.Duration {
+	started := time.Unix(1000, 0)
+	opening := Opening{
+		Started: started,
+	}
+	for after := time.Duration(0); ; after += time.Millisecond {
+		known := 0
+		for _, one := range times {
+			if one <= after {
+				known++
+			}
+		}
+		now := started.Add(after)
+		opening.Heard(known, now)
+		if opening.Left(now) == 0 {
+			return after
+		}
+	}
+}
+
+// every returns the times of instances that turn up in even steps.
+func every(step, end time.Duration) []time.Duration {
+	var times []time.Duration
+	for at := step; at <= end; at += step {
+		times = append(times, at)
+	}
+	return times
+}
+
+func TestWaitForTheOthers(t *testing.T) {
+	for name, one := range map[string]struct {
+		others []time.Duration
+		wait   time.Duration
+	}{
+		"a restart of 19 within 15 ms": {
+			others: every(800*time.Microsecond, 15*time.Millisecond),
+			wait:   meetLeast,
+		},
+		"a restart of 141 on one host, over 400 ms": {
+			others: every(3*time.Millisecond, 400*time.Millisecond),
+			wait:   meetMost,
+		},
+		"a late one": {
+			others: []time.Duration{5 * time.Millisecond, 50 * time.Millisecond},
+			wait:   80 * time.Millisecond,
+		},
+		"nobody": {
+			wait: meetMost,
+		},
+		"one that joins a fleet": {
+			others: every(time.Millisecond, 10*time.Millisecond),
+			wait:   meetLeast,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, one.wait, meet(one.others...))
+		})
+	}
+}
+
+func TestInstanceThatHasMetTheOthersDoesNotWaitForMore(t *testing.T) {
+	opening := Opening{
+		Started: time.Unix(1000, 0),
+	}
+	opening.Heard(3, opening.Started)
+	now := opening.Started.Add(meetLeast)
+	require.Zero(t, opening.Left(now))
+	opening.Heard(4, now)
+	require.Zero(t, opening.Left(now))
+}
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtmesh"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtmember"
+	"github.com/mangotack/mangotack/internal/core/mtopening"
 	"github.com/mangotack/mangotack/internal/core/mtplacer"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
@@ -51,7 +52,6 @@
 	logger   *logrus.Logger
 	journal  *journal
 	meter    *meter
-	started  time.Time
 	pool     *mtupstream.Pool
 	mesh     *mtmesh.Mesh
 	news     *news
@@ -68,9 +68,10 @@
 	applying  sync.Mutex
 	steering  atomic.Pointer[steering]
 	steerWake chan struct{}
-	// choosing is held while roles are chosen and before any other mutex; crews is used under it.
+	// choosing is held while roles are chosen and before any other mutex; crews and opening are used under it.
 	choosing sync.Mutex
 	crews    mtsteer.Crews
+	opening  mtopening.Opening
 	// reads is the instance's mtnews.Role.
 	reads    atomic.Int32
 	inCrew   atomic.Bool
@@ -109,7 +110,6 @@
 		logger:   logger,
 		journal:  newJournal(logger),
 		meter:    newMeter(),
-		started:  now,
 		pool:     mtupstream.NewPool(exchange, net.ParseIP(host)),
 		news:     newNews(now),
 		budgets:  newBudgets(settings.RetryPart, settings.RetryWindow),
@@ -120,6 +120,9 @@
 				IdleConnTimeout: wholeTimeout,
 			},
 		},
+		opening: mtopening.Opening{
+			Started: now,
+		},
 		steerWake: make(chan struct{}, 1),
 		meetPause: meetFirst,
 		met:       now,
--- a/internal/node/mtgateway/steer.go
+++ b/internal/node/mtgateway/steer.go
@@ -19,8 +19,6 @@
 	steerPeriod = 250 * time.Millisecond
 	// chooseGap is the least time between two choices: in a restart of all, rows of some hundred instances come within 100 ms.
 	chooseGap = 20 * time.Millisecond
-	// meetTime is how long after its start an instance waits for the others before it reads for them.
-	meetTime = 150 * time.Millisecond
 	// holdTime is how long callers may keep an answer of the directory: short, so that they leave a lost instance soon.
 	holdTime = 1500 * time.Millisecond
 	// crewSlackPart and otherSlackPart are the parts of the retry slack that the instances that callers are sent to, and
@@ -79,21 +77,23 @@
 			})
 		}
 		g.strained.Store(strain.IsStrained(now))
-		g.chooseRoles(now)
-		g.expire(now)
 		pause := steerPeriod
-		if left := meetTime - now.Sub(g.started); left > 0 {
+		if left := g.chooseRoles(now); left > 0 {
 			pause = min(pause, left)
 		}
+		g.expire(now)
 		due = time.Now().Add(pause)
 		timer.Reset(pause)
 	}
 }
 
-func (g *Gateway) chooseRoles(now time.Time) {
+// chooseRoles chooses the instances with a role; it returns how long this one still waits for others before it takes one.
+func (g *Gateway) chooseRoles(now time.Time) time.Duration {
 	g.choosing.Lock()
 	defer g.choosing.Unlock()
 	candidates := g.candidates(now)
+	g.opening.Heard(len(candidates)-1, now)
+	left := g.opening.Left(now)
 	crew := g.crews.Choose(candidates, g.settings().Instance, now)
 	readers := mtsteer.Readers(candidates)
 	isSelf := func(candidate mtsteer.Candidate) bool {
@@ -101,7 +101,7 @@
 	}
 	role := mtnews.Listener
 	switch place := slices.IndexFunc(readers, isSelf); {
-	case now.Sub(g.started) < meetTime:
+	case left > 0:
 		// A restart of all would make each one a reader until it hears of the others.
 	case place == 0:
 		role = mtnews.Reader
@@ -117,7 +117,7 @@
 	})
 	g.shareBudgets(inCrew, len(crew), len(candidates))
 	if !changed {
-		return
+		return left
 	}
 	mtevent.RoleChanged.Log(g.logger, logrus.Fields{
 		"reads":    role.String(),
@@ -128,6 +128,7 @@
 		f.notify()
 	}
 	g.mesh.Beat(now)
+	return left
 }
 
 func (g *Gateway) candidates(now time.Time) []mtsteer.Candidate {
