A failed accept has a log line; the endpoint that answers twice stands once in the test kit

Cause: found by reading. mtingress waited 20 ms after a failed accept and said nothing, and its Serve returned an error that could never be other than nil, so event 501 for the address of callers was dead code. The endpoint that answers twice had been written a second time.

Ruled out: a line for each failed accept, 50 a second while descriptors lack.

Measured: TestLackOfDescriptorsIsReportedOnceAndAcceptingGoesOn (two series, two reports; it does not compile against the code before, which had no way to report). The tests of the four packages pass with -race. Conclusion: behaviour towards callers is the same.

--- a/internal/adapter/mtgate/answer_test.go
+++ b/internal/adapter/mtgate/answer_test.go
@@ -1,7 +1,6 @@
 package mtgate_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +18,7 @@
 	"github.com/mangotack/mangotack/internal/core/mtcall"
 	"github.com/mangotack/mangotack/internal/core/mtrecord"
 	"github.com/mangotack/mangotack/internal/testkit/mtharness"
+	"github.com/mangotack/mangotack/internal/testkit/mtraw"
 	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
@@ -103,7 +103,7 @@
 		h.ListEndpoint("endpoint-1")
 		listener := h.Network.Listen("endpoint-1:80")
 		defer listener.Close()
-		go answerTwice(listener)
+		go mtraw.AnswerTwice(listener)
 		h.AddEntry("entry-1")
 		for i := range 10 {
 			body := strconv.Itoa(i)
@@ -115,30 +115,6 @@
 	})
 }
 
-func answerTwice(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			reader := bufio.NewReader(conn)
-			for {
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				body, _ := io.ReadAll(request.Body)
-				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-				if _, err := io.WriteString(conn, answer+answer); err != nil {
-					return
-				}
-			}
-		}()
-	}
-}
-
 func TestDeclaredRefusalIsNotRunAndForeignOnesAreAnswers(t *testing.T) {
 	runs := atomic.Int64{}
 	handler := func(to http.ResponseWriter, request *http.Request) {
--- a/internal/adapter/mtingress/server.go
+++ b/internal/adapter/mtingress/server.go
@@ -62,17 +62,23 @@
 // acceptPause follows a failed accept, which is mostly a lack of descriptors.
 const acceptPause = 20 * time.Millisecond
 
-// Serve accepts connections until Close.
-func (s *Server) Serve() error {
+// Serve accepts connections until Close; it reports the first failure of each run of accepts that fail.
+func (s *Server) Serve(report func(err error)) {
+	failing := false
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
+			if !failing {
+				report(err)
+			}
+			failing = true
 			time.Sleep(acceptPause)
 			continue
 		}
+		failing = false
 		s.serve(conn)
 	}
 }
--- a/internal/adapter/mtingress/server_test.go
+++ b/internal/adapter/mtingress/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,11 +26,18 @@
 	t.Helper()
 	server, err := NewServer("127.0.0.1:0", handle, func() Limits { return limits })
 	require.NoError(t, err)
-	go func() { _ = server.Serve() }()
+	go server.Serve(unexpected(t))
 	t.Cleanup(server.Close)
 	return server
 }
 
+// unexpected fails the test at a failed accept.
+func unexpected(t *testing.T) func(error) {
+	return func(err error) {
+		t.Errorf("accept: %v", err)
+	}
+}
+
 type client struct {
 	net.Conn
 	reader *bufio.Reader
@@ -255,7 +263,7 @@
 			conn:   far,
 			closed: make(chan struct{}),
 		}, handlerFunc(echo), func() Limits { return Limits{} })
-		go func() { _ = server.Serve() }()
+		go server.Serve(unexpected(t))
 		server.Close()
 		_, err := near.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
@@ -274,7 +282,7 @@
 		}, handlerFunc(echo), func() Limits { return Limits{} })
 		ended := make(chan struct{})
 		go func() {
-			_ = server.Serve()
+			server.Serve(unexpected(t))
 			close(ended)
 		}()
 		server.Close()
@@ -282,3 +290,36 @@
 		<-ended
 	}
 }
+
+// scarceListener fails or accepts as told, then is closed.
+type scarceListener struct {
+	lateListener
+	accepts []bool
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if len(l.accepts) == 0 {
+		return nil, net.ErrClosed
+	}
+	accepts := l.accepts[0]
+	l.accepts = l.accepts[1:]
+	if !accepts {
+		return nil, syscall.EMFILE
+	}
+	near, far := net.Pipe()
+	return far, near.Close()
+}
+
+func TestLackOfDescriptorsIsReportedOnceAndAcceptingGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newServer(&scarceListener{
+			accepts: []bool{false, false, false, true, false, false, true},
+		}, handlerFunc(echo), func() Limits { return Limits{} })
+		var reported []error
+		server.Serve(func(err error) {
+			reported = append(reported, err)
+		})
+		require.Equal(t, []error{syscall.EMFILE, syscall.EMFILE}, reported)
+		server.group.Wait()
+	})
+}
--- a/internal/adapter/mtpool/replay_test.go
+++ b/internal/adapter/mtpool/replay_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +17,7 @@
 
 	"github.com/mangotack/mangotack/internal/adapter/mtpool"
 	"github.com/mangotack/mangotack/internal/testkit/mtmemory"
+	"github.com/mangotack/mangotack/internal/testkit/mtraw"
 )
 
 // rawEndpoint answers the first request of each connection and runs the second without an answer.
@@ -173,31 +173,6 @@
 	})
 }
 
-// answerTwice answers each request of each connection twice, in one write, with the body of the request.
-func answerTwice(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			reader := bufio.NewReader(conn)
-			for {
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				body, _ := io.ReadAll(request.Body)
-				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-				if _, err := io.WriteString(conn, answer+answer); err != nil {
-					return
-				}
-			}
-		}()
-	}
-}
-
 // The next call competes with the reader of net/http, which has the second answer in its buffer; without a check one call
 // in some thousand got the answer of the call before.
 func TestSecondAnswerIsNotTakenForTheNextOne(t *testing.T) {
@@ -205,7 +180,7 @@
 		network := mtmemory.NewNetwork()
 		listener := network.Listen("endpoint:80")
 		defer listener.Close()
-		go answerTwice(listener)
+		go mtraw.AnswerTwice(listener)
 		pool := mtpool.NewPool(network.Dial)
 		for i := range 10000 {
 			sent := strconv.Itoa(i)
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -191,15 +191,19 @@
 	g.pages = append(g.pages, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			mtevent.ListenFailed.Log(g.logger, logrus.Fields{
-				"address": address,
-				"error":   err.Error(),
-			})
+			g.logListenFailed(address, err)
 		}
 	}()
 	return nil
 }
 
+func (g *Gateway) logListenFailed(address string, err error) {
+	mtevent.ListenFailed.Log(g.logger, logrus.Fields{
+		"address": address,
+		"error":   err.Error(),
+	})
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(to http.ResponseWriter, _ *http.Request) {
@@ -311,13 +315,9 @@
 	}
 	go g.steer(background)
 	go g.sweep(background)
-	go func() {
-		if err := g.calls.Serve(); err != nil {
-			mtevent.ListenFailed.Log(g.logger, logrus.Fields{
-				"error": err.Error(),
-			})
-		}
-	}()
+	go g.calls.Serve(func(err error) {
+		g.logListenFailed(g.settings().Calls, err)
+	})
 	<-ctx.Done()
 	g.leave()
 	mtevent.Stopped.Log(g.logger, logrus.Fields{
--- /dev/null
+++ b/internal/testkit/mtraw/doc.go
@@ -0,0 +1,2 @@
+// Package mtraw plays endpoints that break the rules of HTTP.
+package mtraw
