--- a/internal/verb/mtstory/story.go
+++ b/internal/verb/mtstory/story.go
@@ -208,8 +208,7 @@
 	}
 	switch last.Fields["reason"] {
 	case "overload":
-		return fmt.Sprintf("refused on arrival as not run: the expected wait was %v ms with %v ms left of the objective; the caller was asked to come back after %v ms",
-			value("wait"), value("left"), value("after"))
+		return overloaded(last, value)
 	case "notready":
 		return fmt.Sprintf("refused as not run with status %v: the instance had no configuration or no endpoints yet", value("status"))
 	case "noroute":
@@ -221,6 +220,18 @@
 	}
 }
 
+func overloaded(last Line, value func(string) any) string {
+	when := "on arrival"
+	if took, ok := last.Fields["took"].(float64); ok && took > 0 {
+		when = fmt.Sprintf("after %v ms", took)
+	}
+	why := fmt.Sprintf("the expected wait was %v ms with %v ms left of the objective", value("wait"), value("left"))
+	if left, ok := last.Fields["left"].(float64); ok && left < 0 {
+		why = fmt.Sprintf("it arrived %v ms past its objective, and late requests wait only while all others find room", -left)
+	}
+	return fmt.Sprintf("refused %s as not run: %s; the caller was asked to come back after %v ms", when, why, value("after"))
+}
+
 // Write prints a story for people.
 func (s Story) Write(to io.Writer) error {
 	for _, line := range s.Lines {
