A late request that waits is told when nothing is left over for it

Cause: a request that could no longer be on time was let into the queue while others found room, and stayed there until its deadline when newcomers took every slot afterwards. A queue whose endpoints all hang brings no event, so nothing was decided again until some request ended.

Change: a late request waits for at most the part of its time that callers honour in Retry-After (a third), and is given up at once when requests that could be on time find no room. Bind returns when the next request has to be decided on.

--- a/internal/core/mtplacer/admit.go
+++ b/internal/core/mtplacer/admit.go
@@ -53,12 +53,12 @@
 	request.late = !p.canBeOnTime(request, 0, room, now)
 	ahead := p.ahead(request)
 	if request.late {
-		// Where all find room that can be on time, a slot is soon left over.
-		waits := p.turned.value < strained && ahead == p.lateWaiting() && float64(ahead) < lateShare*float64(room.slots)
-		if waits || ahead < room.spare() {
-			return nil
+		waits := !p.isStrained() && ahead == p.lateWaiting() && float64(ahead) < lateShare*float64(room.slots)
+		if !waits && ahead >= room.spare() {
+			return p.refuseLate(request, ahead, room, now)
 		}
-		return p.refuse(request, Overload, p.wait(request, ahead-room.spare()+1, room.slots), now)
+		request.giveUp = now.Add(time.Duration(returnPart * float64(request.Deadline.Sub(now))))
+		return nil
 	}
 	wait := time.Duration(0)
 	if ahead >= room.free {
@@ -120,10 +120,32 @@
 	if wait > 0 {
 		work *= room.factor
 	}
-	return !now.Add(wait + time.Duration(work)).After(request.Objective)
+	return now.Add(wait + time.Duration(work)).Before(request.Objective)
+}
+
+// isStrained reports whether requests that could be on time find no room, so that no slot will be left over for late ones.
+func (p *Placer) isStrained() bool {
+	return p.turned.value >= strained
+}
+
+// refuseLate refuses a request that can't be on time, of which a number go first.
+func (p *Placer) refuseLate(request *Request, ahead int, room room, now time.Time) *Refusal {
+	return p.refuse(request, Overload, p.wait(request, ahead-room.spare()+1, room.slots), now)
+}
+
+// due returns when a waiting request has to be decided on again although nothing has happened to any endpoint.
+func (p *Placer) due(request *Request) time.Time {
+	switch {
+	case request.Spare:
+		return request.Deadline
+	case request.late:
+		return request.giveUp
+	default:
+		return request.Objective.Add(-p.workOf(request).value())
+	}
 }
 
-// overdue gives up waiting requests that can no longer be on time, unless a slot is left over for them.
+// overdue gives up waiting requests that can no longer be on time, unless a slot is left over for them soon.
 //
 // Serving them first, because their objective is nearest, would make each request after them late as well.
 func (p *Placer) overdue(now time.Time) []Drop {
@@ -136,10 +158,17 @@
 	rest := p.queue[:0]
 	for _, request := range p.queue {
 		switch {
-		case request.late || request.Spare || p.canBeOnTime(request, 0, room, now):
+		case request.Spare, !request.late && p.canBeOnTime(request, 0, room, now):
 			rest = append(rest, request)
-		default:
+		case !request.late:
 			late = append(late, request)
+		case !now.Before(request.giveUp), p.isStrained() && len(rest) >= room.spare():
+			drops = append(drops, Drop{
+				ID:      request.ID,
+				Refusal: p.refuseLate(request, len(rest), room, now),
+			})
+		default:
+			rest = append(rest, request)
 		}
 	}
 	clear(p.queue[len(rest):])
--- a/internal/core/mtplacer/placer.go
+++ b/internal/core/mtplacer/placer.go
@@ -36,7 +36,9 @@
 	// Spare is set for an extra attempt, which only takes a slot that is free at once.
 	Spare bool
 
-	late bool
+	// late is set when the request can't be on time, and giveUp is when such a request has waited for long enough.
+	late   bool
+	giveUp time.Time
 	// lookedAt is when the figures of endpoints were first asked for on behalf of the request.
 	lookedAt time.Time
 	// looked are the endpoints whose figures were last asked for on behalf of the request.
@@ -169,10 +171,17 @@
 	Drops []Drop
 	// Looks are the endpoints whose figures should be looked up now.
 	Looks []*Target
-	// Wake is when to call again at the latest; zero when only an event can change the outcome.
+	// Wake is when to call again at the latest; zero when no request waits.
 	Wake time.Time
 }
 
+// wakeAt makes the next call come at a moment at the latest.
+func (b *Binding) wakeAt(at time.Time) {
+	if b.Wake.IsZero() || at.Before(b.Wake) {
+		b.Wake = at
+	}
+}
+
 // Drop is a request that is given up.
 type Drop struct {
 	ID      uint64
@@ -189,6 +198,7 @@
 	for _, request := range p.queue {
 		if !hasRoom {
 			rest = append(rest, request)
+			binding.wakeAt(p.due(request))
 			continue
 		}
 		grant, again := p.choose(request, now, &binding.Looks)
@@ -199,8 +209,9 @@
 			continue
 		}
 		rest = append(rest, request)
-		if !again.IsZero() && (binding.Wake.IsZero() || again.Before(binding.Wake)) {
-			binding.Wake = again
+		binding.wakeAt(p.due(request))
+		if !again.IsZero() {
+			binding.wakeAt(again)
 		}
 	}
 	clear(p.queue[len(rest):])
--- a/internal/core/mtplacer/placer_test.go
+++ b/internal/core/mtplacer/placer_test.go
@@ -422,3 +422,70 @@
 	work.learn(110 * time.Millisecond)
 	require.InDelta(t, 15, work.value().Milliseconds(), 1, "later ones change it slowly")
 }
+
+// occupied returns a placer whose only endpoint has one slot, with a request that has it.
+func occupied(now time.Time) (*Placer, Grant) {
+	placer := newTestPlacer(newTarget("one", 1).withReport(0, 1, now))
+	placer.SetLooks(0)
+	_ = placer.Offer(newRequest(1000, now), now)
+	return placer, placer.Bind(now).Grants[0]
+}
+
+// An endpoint that hangs brings no event; the requests that wait for it are told while their callers have time to go elsewhere.
+func TestWaitingRequestIsGivenUpWithoutAnyEvent(t *testing.T) {
+	placer, _ := occupied(t0)
+	request := newRequest(1, t0)
+	require.Nil(t, placer.Offer(request, t0))
+	now := t0
+	for range 2 {
+		wake := placer.Bind(now).Wake
+		require.True(t, wake.After(now), "once when it can't be on time, and once when it has waited for long enough")
+		now = wake
+	}
+	drops := placer.Bind(now).Drops
+	require.Len(t, drops, 1)
+	require.Equal(t, request.ID, drops[0].ID)
+	require.False(t, now.After(request.Objective.Add(request.Deadline.Sub(t0)/3)))
+}
+
+// lateRequest returns a request whose objective has passed.
+func lateRequest(id uint64, now time.Time) *Request {
+	request := newRequest(id, now)
+	request.Objective = now
+	return request
+}
+
+// A slot may be left over when a late request comes, and none later: newcomers take them all. The request must not wait for its
+// deadline, at which nobody can help its caller any more.
+func TestLateRequestIsGivenUpWhenNothingIsLeftOver(t *testing.T) {
+	targets := make([]*Target, 20)
+	for i := range targets {
+		targets[i] = newTarget(fmt.Sprintf("e%02d", i), 1).withReport(0, 1, t0)
+	}
+	placer := newTestPlacer(targets...)
+	placer.SetLooks(0)
+	for id := range uint64(20) {
+		require.Nil(t, placer.Offer(newRequest(1000+id, t0), t0))
+	}
+	require.Len(t, placer.Bind(t0).Grants, 20)
+	late := lateRequest(1, t0)
+	require.Nil(t, placer.Offer(late, t0), "a slot is soon left over while all others find room")
+	for id := uint64(2); placer.turned.value < strained; id++ {
+		_ = placer.Offer(newRequest(id, t0), t0)
+	}
+	drops := placer.Bind(t0).Drops
+	require.Len(t, drops, 1)
+	require.Equal(t, late.ID, drops[0].ID)
+	require.Equal(t, Overload, drops[0].Refusal.Reason)
+}
+
+// Newcomers may take every slot although all of them find room; a late request is told so while its caller has time to come back.
+func TestLateRequestDoesNotWaitForLong(t *testing.T) {
+	placer, _ := occupied(t0)
+	late := lateRequest(1, t0)
+	require.Nil(t, placer.Offer(late, t0))
+	wake := placer.Bind(t0).Wake
+	require.False(t, wake.IsZero())
+	require.False(t, wake.After(t0.Add(late.Deadline.Sub(t0)/3)))
+	require.Len(t, placer.Bind(wake).Drops, 1)
+}
