Receivers join at a quarter of their processor, and a rate rises at once

Two receivers of 0.8 cores had all callers, opened a connection to each endpoint again and looked at endpoints on figures of 300 to 1,100 ms; one of them noticed that it was strained and left, so that the other got its load as well. A rate was a moving mean from zero and told half of the load after a second.

Change: an instance counts with a quarter of its processor instead of a half; a rate counts at once when it rises and falls by half a second (mtrate); while no instance has seen a load, there is a receiver in each data centre. The tests of the crew's size follow the constant; each still names the size that it must have.

--- /dev/null
+++ b/internal/core/mtrate/doc.go
@@ -0,0 +1,2 @@
+// Package mtrate measures how often something happens.
+package mtrate
--- a/internal/core/mtsteer/steer.go
+++ b/internal/core/mtsteer/steer.go
@@ -21,8 +21,9 @@
 	crewSmallest = 2
 	// callCost is the processor time of one request in core seconds, as measured under the users' bench with its probes.
 	callCost = 0.0006
-	// busyShare is the part of an instance's processor that requests may take before another instance joins.
-	busyShare = 0.5
+	// busyShare is the part of an instance's processor that requests may take before another instance joins; what is above the
+	// mean comes in bursts, and a new connection to each endpoint costs as much as several requests.
+	busyShare = 0.25
 	// linkShare is the part of an instance's link that answers may take before another instance joins; what is above the mean
 	// comes in bursts.
 	linkShare = 0.3
@@ -79,6 +80,8 @@
 
 // Crew returns the instances that callers are sent to.
 //
+// While no instance has seen a load, as after a restart of all, there is one in each data centre.
+//
 // Of instances that are as good, the next is in a data centre with the fewest of those before it: the loss of a data centre leaves
 // some, and requests find endpoints near by in several.
 func Crew(candidates []Candidate) []Candidate {
@@ -96,9 +99,13 @@
 		usable[i].handicap = count(r.Age > newest+staleMore, r.Strained)
 		usable[i].weakness = -tier(*r.Candidate, size)
 	}
+	smallest := crewSmallest
+	if rate == 0 {
+		smallest = max(smallest, centres(usable))
+	}
 	var crew []Candidate
 	capacity := 0.0
-	for len(usable) > 0 && (len(crew) < crewSmallest || capacity < rate) {
+	for len(usable) > 0 && (len(crew) < smallest || capacity < rate) {
 		chosen := takeBest(&usable)
 		crew = append(crew, chosen)
 		capacity += carries(chosen, size)
@@ -198,6 +205,15 @@
 	return number
 }
 
+// centres returns the number of data centres that instances are in.
+func centres(instances []ranked) int {
+	seen := map[string]bool{}
+	for _, instance := range instances {
+		seen[instance.Centre] = true
+	}
+	return len(seen)
+}
+
 // load returns the number of requests a second that all instances get, and the mean size of an answer in megabits.
 func load(candidates []Candidate) (rate, size float64) {
 	traffic := 0.0
--- a/internal/core/mtsteer/steer_test.go
+++ b/internal/core/mtsteer/steer_test.go
@@ -16,6 +16,7 @@
 			Centre:   string(rune('a' + i/3)),
 			Epoch:    uint64(100 + i),
 			Capacity: 0.32,
+			Rate:     1,
 			Ready:    true,
 		})
 	}
@@ -44,12 +45,25 @@
 		candidates[i].Rate = 90
 	}
 	crew := Crew(candidates)
-	require.Len(t, crew, 5, "each carries 0.32 * 0.5 / 0.0006 = 266 requests a second")
-	centres := map[string]int{}
-	for _, member := range crew {
-		centres[member.Centre]++
+	require.Len(t, crew, 10, "each carries 0.32 * 0.25 / 0.0006 = 133 requests a second")
+	for i := range 2 {
+		centres := map[string]bool{}
+		for _, member := range crew[5*i : 5*i+5] {
+			centres[member.Centre] = true
+		}
+		require.Len(t, centres, 5, "each data centre once before any again")
+	}
+}
+
+// Callers who come back after a restart of all would overwhelm two receivers before their number is known.
+func TestUnknownLoadIsSharedByAllDataCentres(t *testing.T) {
+	candidates := fleet(14)
+	for i := range candidates {
+		candidates[i].Rate = 0
 	}
-	require.Len(t, centres, 5)
+	require.Equal(t, []string{"i00", "i03", "i06", "i09", "i12"}, names(Crew(candidates)))
+	candidates[3].Rate = 5
+	require.Equal(t, []string{"i00", "i03"}, names(Crew(candidates)), "the load is known")
 }
 
 func TestStrongerInstanceOfTheSameCentreIsTakenBeforeAWeakerOneElsewhere(t *testing.T) {
@@ -61,7 +75,7 @@
 func TestCrewGrowsWithTheLoad(t *testing.T) {
 	candidates := fleet(14)
 	candidates[3].Rate = 1000
-	require.Len(t, Crew(candidates), 4, "each carries 0.32 * 0.5 / 0.0006 = 266 requests a second")
+	require.Len(t, Crew(candidates), 8, "each carries 0.32 * 0.25 / 0.0006 = 133 requests a second")
 }
 
 func TestInstanceThatLeavesIsSilentOrNotReadyReceivesNoCallers(t *testing.T) {
--- a/internal/node/mtgateway/meter.go
+++ b/internal/node/mtgateway/meter.go
@@ -10,6 +10,7 @@
 
 	"github.com/mangotack/mangotack/internal/core/mtnews"
 	"github.com/mangotack/mangotack/internal/core/mtplacer"
+	"github.com/mangotack/mangotack/internal/core/mtrate"
 )
 
 // meter counts what the instance does.
@@ -73,38 +74,20 @@
 	metrics.WriteProcessMetrics(to)
 }
 
-// rateWeight is the weight of one period in the moving mean of the rate.
-const rateWeight = 0.5
-
-// rate is a number of events or bytes a second as a moving mean over periods of a second.
+// rate is a rate that several goroutines count for.
 type rate struct {
-	mu     sync.Mutex
-	count  float64
-	began  time.Time
-	second float64
+	mu   sync.Mutex
+	rate mtrate.Rate
 }
 
 func (r *rate) add(count float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.roll(now)
-	r.count += count
-}
-
-func (r *rate) roll(now time.Time) {
-	if r.began.IsZero() {
-		r.began = now
-	}
-	if past := now.Sub(r.began); past >= time.Second {
-		r.second += rateWeight * (r.count/past.Seconds() - r.second)
-		r.count = 0
-		r.began = now
-	}
+	r.rate.Add(count, now)
 }
 
-func (r *rate) load() float64 {
+func (r *rate) perSecond(now time.Time) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.roll(time.Now())
-	return r.second
+	return r.rate.PerSecond(now)
 }
--- a/internal/node/mtgateway/news.go
+++ b/internal/node/mtgateway/news.go
@@ -220,10 +220,10 @@
 	}
 	self.Capacity = float32(g.settings().Capacity)
 	self.Link = float32(g.settings().Link)
-	self.Traffic = float32(g.traffic.load() * megabit)
+	self.Traffic = float32(g.traffic.perSecond(now) * megabit)
 	self.Ready = g.isReady()
 	self.Leaving = g.leaving.Load()
 	self.Strained = g.strained.Load()
-	self.Rate = float32(g.rate.load())
+	self.Rate = float32(g.rate.perSecond(now))
 	return g.role() != mtnews.Listener || g.inCrew.Load() || self.Leaving
 }
--- a/internal/node/mtgateway/steer.go
+++ b/internal/node/mtgateway/steer.go
@@ -115,7 +115,7 @@
 	g.steering.Store(&steering{
 		crew: crew,
 	})
-	g.shareBudgets(inCrew, len(crew), len(candidates))
+	g.shareBudgets(inCrew, len(crew), len(candidates), now)
 	if !changed {
 		return left
 	}
@@ -185,7 +185,7 @@
 }
 
 // shareBudgets divides the slack of the retry budget, and the looks at endpoints, among the instances.
-func (g *Gateway) shareBudgets(inCrew bool, crew, known int) {
+func (g *Gateway) shareBudgets(inCrew bool, crew, known int, now time.Time) {
 	slack, looks, sharers := otherSlackPart, otherLookPart, max(1, known)
 	if inCrew {
 		slack, looks, sharers = crewSlackPart, crewLookPart, max(1, crew)
@@ -194,7 +194,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.looks = looks * g.settings().Probes / float64(sharers)
-	if !inCrew && g.rate.load() < lookRateLeast {
+	if !inCrew && g.rate.perSecond(now) < lookRateLeast {
 		g.looks = 0
 	}
 	for _, placer := range g.placers {
