Services that tell no load are not asked for it

Change: after five answers without figures, and none with any, requests of a service don't wait for looks. An endpoint that answers a look without figures while others of its service tell theirs is passed over as before.

Three tests, of which the first failed before.

--- a/internal/core/mtplacer/choose.go
+++ b/internal/core/mtplacer/choose.go
@@ -77,7 +77,7 @@
 
 // mayLook reports whether a request may still wait for figures.
 func (p *Placer) mayLook(request *Request, now time.Time) bool {
-	return p.looks > 0 && (request.lookedAt.IsZero() || now.Sub(request.lookedAt) < lookMost)
+	return p.canLook() && (request.lookedAt.IsZero() || now.Sub(request.lookedAt) < lookMost)
 }
 
 // firstKnown returns the cheapest option, and whether its figures are stale and a look is worth while; endpoints that
@@ -126,7 +126,7 @@
 // The speed of a host at the start of a request holds for all of its work, and the speed of hosts is drawn anew every
 // paceLife or so. Waiting for that costs less than a start on a slow host.
 func (p *Placer) isWorthHold(request *Request, best option, now time.Time) bool {
-	if p.looks <= 0 || !p.isSlow(best.pace) || !request.lookedAt.IsZero() && now.Sub(request.lookedAt) > holdMost {
+	if !p.canLook() || !p.isSlow(best.pace) || !request.lookedAt.IsZero() && now.Sub(request.lookedAt) > holdMost {
 		return false
 	}
 	gain := float64(best.expected) * (1 - p.pace.value/best.pace)
--- a/internal/core/mtplacer/placer.go
+++ b/internal/core/mtplacer/placer.go
@@ -74,6 +74,9 @@
 	random *rand.Rand
 	// looks is the most looks at one endpoint a second.
 	looks float64
+	// told is set once an endpoint has told its figures, and untold is the number of answers without any before that.
+	told   bool
+	untold int
 	// staying and healthy are reused, because callers hold a lock and must not wait for the collector.
 	staying []*Target
 	healthy []*Target
@@ -246,9 +249,31 @@
 	if report.Pace > 0 && now.Sub(target.reported) > 2*paceLife {
 		p.pace.add(report.Pace)
 	}
+	p.told = true
 	target.observe(report, now)
 }
 
+// untoldLeast is the number of answers without figures after which a service counts as one that tells none.
+const untoldLeast = 5
+
+// Untold records an answer without figures, to a request or to a look.
+func (p *Placer) Untold(target *Target, now time.Time) {
+	asked := target.looking
+	target.looking = false
+	if !p.told {
+		p.untold++
+		return
+	}
+	if asked {
+		target.unseen(now)
+	}
+}
+
+// canLook reports whether endpoints may be asked for their figures, and tell them.
+func (p *Placer) canLook() bool {
+	return p.looks > 0 && (p.told || p.untold < untoldLeast)
+}
+
 // isSlow reports whether a host is slower than a usual one of its service.
 func (p *Placer) isSlow(pace float64) bool {
 	return pace > max(goodPace, p.pace.value)
--- a/internal/core/mtplacer/placer_test.go
+++ b/internal/core/mtplacer/placer_test.go
@@ -489,3 +489,61 @@
 	require.False(t, wake.After(t0.Add(late.Deadline.Sub(t0)/3)))
 	require.Len(t, placer.Bind(wake).Drops, 1)
 }
+
+// The endpoints of some services never tell their load, and a look takes a slot there. They must be neither asked again nor passed
+// over for it.
+func TestServiceThatTellsNoFiguresIsNotAsked(t *testing.T) {
+	targets := []*Target{newTarget("one", 2), newTarget("two", 2), newTarget("three", 2)}
+	placer := newTestPlacer(targets...)
+	now := t0
+	looks := 0
+	for id := uint64(1); id <= 20; id++ {
+		now = now.Add(100 * time.Millisecond)
+		require.Nil(t, placer.Offer(newRequest(id, now), now))
+		binding := placer.Bind(now)
+		for len(binding.Looks) > 0 {
+			for _, target := range binding.Looks {
+				looks++
+				placer.Untold(target, now)
+			}
+			binding = placer.Bind(now)
+		}
+		grants := binding.Grants
+		require.Len(t, grants, 1, "an answer without figures is an answer")
+		placer.End(grants[0], "r", Result{
+			Verdict: Served,
+			Took:    10 * time.Millisecond,
+		}, now)
+		placer.Untold(grants[0].Target, now)
+	}
+	require.LessOrEqual(t, looks, untoldLeast+lookWidth)
+	for _, target := range targets {
+		require.False(t, target.IsEjected(now))
+	}
+}
+
+func TestServiceThatTellsFiguresLaterIsAskedAgain(t *testing.T) {
+	target := newTarget("one", 2)
+	placer := newTestPlacer(target)
+	for range untoldLeast {
+		placer.Untold(target, t0)
+	}
+	require.False(t, placer.canLook())
+	placer.Observe(target, Report{
+		Slots: 2,
+	}, t0)
+	require.True(t, placer.canLook())
+}
+
+// Where others tell theirs, an endpoint that answers a look without figures does not serve as it should.
+func TestEndpointWithoutFiguresAmongOthersIsPassedOver(t *testing.T) {
+	one, two := newTarget("one", 2).withReport(0, 1, t0), newTarget("two", 2)
+	placer := newTestPlacer(one, two)
+	placer.Observe(one, Report{
+		Slots: 2,
+	}, t0)
+	two.looking = true
+	placer.Untold(two, t0)
+	require.True(t, two.IsEjected(t0))
+	require.True(t, placer.canLook())
+}
--- a/internal/node/mtgateway/desk.go
+++ b/internal/node/mtgateway/desk.go
@@ -124,8 +124,10 @@
 	defer g.mu.Unlock()
 	placer := g.placer(service)
 	switch {
-	case err == nil && stated.Instance != "" && stated.Instance != target.ID, err != nil, !stated.Reported:
+	case err != nil, stated.Instance != "" && stated.Instance != target.ID:
 		placer.Unseen(target, now)
+	case !stated.Reported:
+		placer.Untold(target, now)
 	default:
 		stated.Report.Own = target.Inflight()
 		placer.Observe(target, stated.Report, now)
@@ -139,10 +141,13 @@
 	defer g.mu.Unlock()
 	placer := g.placer(service)
 	placer.End(grant, route, result, now)
-	if report != nil {
+	switch {
+	case report != nil:
 		// The report of an answer still counts the request that it answers.
 		report.Own = grant.Target.Inflight() + 1
 		placer.Observe(grant.Target, *report, now)
+	case result.Verdict == mtplacer.Served:
+		placer.Untold(grant.Target, now)
 	}
 	g.pump(service, now)
 }
