Instances that restart together name the same receivers

Ruled out: telling it at once by a row and a choice of roles. Each then named itself for 290 ms, until its next choice.

Change: for 800 ms after its own start, two periods of rows, an instance takes all others as able to serve and so chooses by seniority as the others do.

A test that failed before.

--- a/internal/core/mtsteer/steer_test.go
+++ b/internal/core/mtsteer/steer_test.go
@@ -210,6 +210,23 @@
 	require.Equal(t, []string{"i05", "i09"}, names(crews.Choose(candidates, "i09", now)), "one that is heard can tell")
 }
 
+// In a restart of all, each instance knows first of itself that it can serve. All of them must send callers to the same few.
+func TestInstancesThatRestartTogetherNameTheSameReceivers(t *testing.T) {
+	now := time.Now()
+	for self := range 14 {
+		candidates := fleet(14)
+		for i := range candidates {
+			candidates[i].Ready = i == self
+		}
+		crews := &Crews{
+			Started: now.Add(-readyTime + 1),
+		}
+		require.Equal(t, []string{"i00", "i03"}, names(crews.Choose(candidates, candidates[self].Name, now)))
+		later := crews.Choose(candidates, candidates[self].Name, now.Add(1))
+		require.Equal(t, []string{candidates[self].Name}, names(later), "by now the others would have said that they can serve")
+	}
+}
+
 func TestInstanceThatIsTheLastReceivesCallers(t *testing.T) {
 	crews := &Crews{}
 	candidates := fleet(2)
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -120,6 +120,9 @@
 				IdleConnTimeout: wholeTimeout,
 			},
 		},
+		crews: mtsteer.Crews{
+			Started: now,
+		},
 		opening: mtopening.Opening{
 			Started: now,
 		},
