Shares of the budgets hold when instances lose each other

Cause: an instance that had heard nobody for 5 s counted itself as the only one, and took half of the retry slack and 0.7 of the looks at endpoints.

Ruled out: the shares of the others, which fall with the number of instances known.

Change: mtsteer.ShareOf gives receivers the part of the slack that belongs to the instances on their side of a cut, and counts all instances that were heard of and have not left. A message between instances that can't be read has a log line.

An instance that restarts during such a cut still knows only itself.

--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -167,6 +167,20 @@
 	return len(m.view.Live(now, state))
 }
 
+// Fleet returns the number of instances that were heard of and have not left, itself included, whether they are heard at present or
+// not.
+func (m *Mesh) Fleet() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, row := range m.view.Known() {
+		if !row.GetLeaving() {
+			count++
+		}
+	}
+	return count
+}
+
 // Beat sends the own row now: to a few, or to all by an instance with a role.
 func (m *Mesh) Beat(now time.Time) {
 	m.beat(false, now)
@@ -313,11 +327,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue
-		}
 		message := &peerv1.Gossip{}
-		if proto.Unmarshal(buffer[:n], message) != nil {
+		if err == nil {
+			err = proto.Unmarshal(buffer[:n], message)
+		}
+		if err != nil {
+			m.logger.WithError(err).Debug("message of another instance can't be read")
 			continue
 		}
 		m.take(message, time.Now())
--- a/internal/node/mtgateway/steer.go
+++ b/internal/node/mtgateway/steer.go
@@ -21,13 +21,6 @@
 	chooseGap = 20 * time.Millisecond
 	// holdTime is how long callers may keep an answer of the directory: short, so that they leave a lost instance soon.
 	holdTime = 1500 * time.Millisecond
-	// crewSlackPart and otherSlackPart are the parts of the retry slack that the instances that callers are sent to, and
-	// the others, share evenly; they add up to less than one, because views differ for moments.
-	crewSlackPart  = 0.5
-	otherSlackPart = 0.3
-	// crewLookPart and otherLookPart are the same for the budget of looks at an endpoint.
-	crewLookPart  = 0.7
-	otherLookPart = 0.2
 	// lookRateLeast is the number of requests a second below which an instance that callers are not sent to makes no looks:
 	// its few requests would open a connection for each look.
 	lookRateLeast = 5
@@ -109,13 +102,18 @@
 		role = mtnews.Standby
 	}
 	changed := g.reads.Swap(int32(role)) != int32(role)
-	g.rankFeeds(mtsteer.Place(candidates, g.settings().Instance))
+	place, heard := mtsteer.Place(candidates, g.settings().Instance)
+	g.rankFeeds(place, heard)
 	inCrew := slices.ContainsFunc(crew, isSelf)
 	changed = g.inCrew.Swap(inCrew) != inCrew || changed
 	g.steering.Store(&steering{
 		crew: crew,
 	})
-	g.shareBudgets(inCrew, len(crew), len(candidates), now)
+	g.shareBudgets(inCrew, mtsteer.Fleet{
+		Receivers: len(crew),
+		Heard:     heard,
+		Known:     g.mesh.Fleet(),
+	}, now)
 	if !changed {
 		return left
 	}
@@ -184,16 +182,13 @@
 	return addresses, min(holdTime, g.settings().Hold)
 }
 
-// shareBudgets divides the slack of the retry budget, and the looks at endpoints, among the instances.
-func (g *Gateway) shareBudgets(inCrew bool, crew, known int, now time.Time) {
-	slack, looks, sharers := otherSlackPart, otherLookPart, max(1, known)
-	if inCrew {
-		slack, looks, sharers = crewSlackPart, crewLookPart, max(1, crew)
-	}
-	g.budgets.setSlack(slack * g.settings().RetrySlack / float64(sharers))
+// shareBudgets sets this instance's share of the retry budget and of the looks at endpoints.
+func (g *Gateway) shareBudgets(inCrew bool, fleet mtsteer.Fleet, now time.Time) {
+	share := mtsteer.ShareOf(inCrew, fleet)
+	g.budgets.setSlack(share.Slack * g.settings().RetrySlack)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.looks = looks * g.settings().Probes / float64(sharers)
+	g.looks = share.Looks * g.settings().Probes
 	if !inCrew && g.rate.perSecond(now) < lookRateLeast {
 		g.looks = 0
 	}
