--- /dev/null
+++ b/internal/core/mtstrain/doc.go
@@ -0,0 +1,2 @@
+// Package mtstrain notices that an instance lacks processor time.
+package mtstrain
--- a/internal/core/mtsteer/strain.go
+++ b/internal/core/mtstrain/strain.go
@@ -1,4 +1,4 @@
-package mtsteer
+package mtstrain
 
 import "time"
 
--- a/internal/node/mtgateway/steer.go
+++ b/internal/node/mtgateway/steer.go
@@ -11,6 +11,7 @@
 	"github.com/mangotack/mangotack/internal/core/mtclock"
 	"github.com/mangotack/mangotack/internal/core/mtnews"
 	"github.com/mangotack/mangotack/internal/core/mtsteer"
+	"github.com/mangotack/mangotack/internal/core/mtstrain"
 	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
 )
 
@@ -43,7 +44,7 @@
 func (g *Gateway) steer(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	strain := mtsteer.Strain{}
+	strain := mtstrain.Strain{}
 	clock := mtclock.Steps{}
 	due := time.Now()
 	chosen := time.Time{}
