--- a/internal/core/mtsteer/share_test.go
+++ b/internal/core/mtsteer/share_test.go
@@ -3,55 +3,49 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// sides splits a fleet at random, as cuts of the network do, and returns the names on each side.
-func sides(candidates []Candidate, random *rand.Rand) [][]string {
-	parts := make([][]string, 1+random.IntN(len(candidates)))
+// sides splits a fleet at random, as cuts of the network do, and returns the side of each instance.
+func sides(candidates []Candidate, random *rand.Rand) map[string]int {
+	count := 1 + random.IntN(len(candidates))
+	side := map[string]int{}
 	for _, candidate := range candidates {
-		i := random.IntN(len(parts))
-		parts[i] = append(parts[i], candidate.Name)
+		side[candidate.Name] = random.IntN(count)
 	}
-	return parts
+	return side
 }
 
-// total returns the sum of the shares of all instances when each hears only those on its own side; the dead are those whose silence
-// is so long that they are no candidates any more.
-func total(candidates []Candidate, parts [][]string, dead bool, now time.Time) (slack, looks float64) {
-	for _, part := range parts {
-		heard := map[string]bool{}
-		for _, name := range part {
-			heard[name] = true
-		}
+// total returns the sum of the shares of all instances when each hears only some of the others; the dead are those whose silence is so
+// long that they are no candidates any more.
+func total(candidates []Candidate, hears func(observer, other string) bool, dead bool, now time.Time) (slack, looks float64) {
+	for _, observer := range candidates {
 		var seen []Candidate
+		heard := 0
 		for _, candidate := range candidates {
-			if !heard[candidate.Name] {
+			if candidate.Name != observer.Name && !hears(observer.Name, candidate.Name) {
 				candidate.Silence = silenceLimit + time.Second
 				if dead {
 					continue
 				}
+			} else {
+				heard++
 			}
 			seen = append(seen, candidate)
 		}
-		for _, name := range part {
-			crews := &Crews{}
-			crew := crews.Choose(seen, name, now)
-			isReceiver := false
-			for _, member := range crew {
-				isReceiver = isReceiver || member.Name == name
-			}
-			share := ShareOf(isReceiver, Fleet{
-				Receivers: len(crew),
-				Heard:     len(part),
-				Known:     len(candidates),
-			})
-			slack += share.Slack
-			looks += share.Looks
-		}
+		crews := &Crews{}
+		crew := crews.Choose(seen, observer.Name, now)
+		share := ShareOf(slices.Contains(names(crew), observer.Name), Fleet{
+			Receivers: len(crew),
+			Heard:     heard,
+			Known:     len(candidates),
+		})
+		slack += share.Slack
+		looks += share.Looks
 	}
 	return slack, looks
 }
@@ -62,9 +56,12 @@
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			candidates := fleet(2 + random.IntN(140))
-			parts := sides(candidates, random)
+			side := sides(candidates, random)
+			hears := func(observer, other string) bool {
+				return side[observer] == side[other]
+			}
 			for _, dead := range []bool{false, true} {
-				slack, looks := total(candidates, parts, dead, time.Now())
+				slack, looks := total(candidates, hears, dead, time.Now())
 				require.LessOrEqual(t, slack, 1.0)
 				require.LessOrEqual(t, looks, 1.0)
 			}
@@ -74,8 +71,19 @@
 
 func TestReceiversOfAWholeFleetShareTheirPart(t *testing.T) {
 	candidates := fleet(14)
-	whole := [][]string{names(candidates)}
-	slack, looks := total(candidates, whole, false, time.Now())
+	slack, looks := total(candidates, func(string, string) bool { return true }, false, time.Now())
 	require.InDelta(t, receiverSlack+12.0/14*otherSlack, slack, 1e-9)
 	require.InDelta(t, receiverLooks+12.0/14*otherLooks, looks, 1e-9)
 }
+
+// A receiver whose messages are lost, while it hears the others, goes on as one; the others choose another in its place.
+func TestReceiverThatNobodyHearsKeepsTheBudgets(t *testing.T) {
+	candidates := fleet(14)
+	for _, mute := range names(Crew(candidates)) {
+		hears := func(_, other string) bool {
+			return other != mute
+		}
+		slack, _ := total(candidates, hears, false, time.Now())
+		require.LessOrEqual(t, slack, 1.0)
+	}
+}
