An endpoint's own word: Server-Leaving and Retry-After

A target that leaves says so in its answers, and requests that reach it later than drain_ms after that break a rule, in touch or not; one that answers 503 with Retry-After wants nothing for that time.

Ruled out: leaving it to the store's entries, which an instance that can't read the store does not see, and which some targets never write.

Change: both are decoded in platform/ and taken in when the head of any answer is read: to requests and looks, skipped and late ones. Leaving holds for one process of the endpoint (id and born) whatever its entry says later, also before the entry is known and after it has lapsed. A request that is bound but not yet sent is withdrawn and placed again, also when its process was paused since the grant. A rest at others is a hint: bounded to 1 s, and not taken by an instance that the endpoint serves. When no endpoint is open, callers are told when the first rest ends.

--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -41,6 +41,9 @@
 	EndpointAdmitted     = Event{Number: 240, Level: logrus.InfoLevel, Text: "endpoint admitted"}
 	EndpointDraining     = Event{Number: 241, Level: logrus.InfoLevel, Text: "endpoint drains, it gets no new requests"}
 	EndpointsAdmitted    = Event{Number: 243, Level: logrus.InfoLevel, Text: "first list of endpoints admitted"}
+	EndpointLeaves       = Event{Number: 244, Level: logrus.InfoLevel, Text: "endpoint says in an answer that it leaves, it gets no new requests"}
+	EndpointRests        = Event{Number: 245, Level: logrus.InfoLevel, Text: "endpoint wants no requests for a time"}
+	RestUnread           = Event{Number: 246, Level: logrus.WarnLevel, Text: "endpoint's Retry-After can't be read, told once"}
 	EndpointGone         = Event{Number: 242, Level: logrus.InfoLevel, Text: "endpoint gone"}
 
 	MemberJoined   = Event{Number: 300, Level: logrus.InfoLevel, Text: "entry instance joined or was replaced"}
@@ -66,7 +69,7 @@
 	Started, Stopping, Stopped, Ready, SettingsReloaded, SettingsRefused, LinesDropped, LinesSpared,
 	LogLost, LogBack, LogBackwards, LogForgot, SnapshotRead, SnapshotSent, CaughtUp, ListLost, ListBack,
 	StoreLost, StoreBack, StoreForgot, RecordUnread,
-	ConfigurationApplied, EndpointAdmitted, EndpointDraining, EndpointGone, EndpointsAdmitted,
+	ConfigurationApplied, EndpointAdmitted, EndpointDraining, EndpointGone, EndpointsAdmitted, EndpointLeaves, EndpointRests, RestUnread,
 	MemberJoined, ObserverPaused, MemberLost, ClockStepped, RoleChanged,
 	Published, PublishRefused,
 	CallPanicked, ListenFailed, AttemptFailed, CallRefused, CallAnswered, CallLeft, CallRepeated,
--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -48,6 +48,10 @@
 	Heard(row *peerv1.Row, now time.Time)
 	// Changed takes in changes of a feed.
 	Changed(changes *peerv1.Changes, now time.Time)
+	// Marks returns what endpoints have said of themselves, for the next message.
+	Marks(now time.Time) []*peerv1.Mark
+	// Marked takes in such marks of another instance.
+	Marked(marks []*peerv1.Mark, now time.Time)
 }
 
 // Mesh exchanges rows with the other instances; it is safe for use by many goroutines.
@@ -192,6 +196,7 @@
 }
 
 func (m *Mesh) beat(all bool, now time.Time) {
+	marks := m.listener.Marks(now)
 	m.mu.Lock()
 	m.rounds++
 	hasRole := m.listener.Fill(m.view.Self(), now)
@@ -203,9 +208,12 @@
 		})
 		few = few[:fanout]
 	}
-	message, err := proto.Marshal(m.view.Message(rowLimit, beatLimit, m.random))
+	gossip := m.view.Message(rowLimit, beatLimit, m.random)
+	gossip.Marks = marks
+	message, err := proto.Marshal(gossip)
 	row, failed := proto.Marshal(&peerv1.Gossip{
-		Rows: []*peerv1.Row{m.view.Self()},
+		Rows:  []*peerv1.Row{m.view.Self()},
+		Marks: marks,
 	})
 	if len(targets) == 0 || m.rounds%seedRounds == 0 {
 		few = append(slices.Clone(few), m.seedTargets()...)
@@ -355,6 +363,9 @@
 			m.Beat(now)
 		}
 	}
+	if marks := message.GetMarks(); len(marks) > 0 {
+		m.listener.Marked(marks, now)
+	}
 	if changes := message.GetChanges(); changes != nil {
 		m.listener.Changed(changes, now)
 	}
--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -111,6 +111,15 @@
 	p.idle[c.address] = list
 }
 
+// keepUnused puts a connection back that has carried no request since it was taken.
+func (p *Pool) keepUnused(c *conn) {
+	now := time.Now()
+	if c.expires.IsZero() {
+		c.expires = now.Add(idleDefault)
+	}
+	p.keep(c, c.expires.Sub(now), now)
+}
+
 // Sweep closes connections that have been idle for too long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -55,6 +55,11 @@
 	// Attempt is the ID that the answer must echo, or empty.
 	Attempt    string
 	Idempotent bool
+	// Heard takes in what the endpoint states with each answer on the connection, also with those that are skipped, as soon as the
+	// head of the answer is read.
+	Heard func(stated mtexchange.Stated)
+	// Allowed is asked when the connection is open; the request is not sent unless it returns true.
+	Allowed func() bool
 }
 
 // Reply is a whole answer, or the start of a long one.
@@ -81,12 +86,19 @@
 	Lost
 )
 
+// ErrWithdrawn tells that a request was not sent because its endpoint must no longer get it.
+var ErrWithdrawn = errors.New("the endpoint left, or asked for a rest, before the request was sent")
+
 // Send sends a request once and returns its answer.
 func (p *Pool) Send(ctx context.Context, order Order, deadline time.Time) (*Reply, Fate, error) {
 	c, err := p.take(ctx, order.Address, order.Idempotent, time.Now())
 	if err != nil {
 		return nil, Unsent, err
 	}
+	if order.Allowed != nil && !order.Allowed() {
+		p.keepUnused(c)
+		return nil, Unsent, ErrWithdrawn
+	}
 	stop := context.AfterFunc(ctx, c.close)
 	_ = c.socket.SetDeadline(deadline)
 	written := make(chan struct{})
@@ -165,10 +177,13 @@
 		if err != nil {
 			return nil, mtexchange.Stated{}, err
 		}
+		stated := p.reader.ReadAnswer(response.StatusCode, response.Header)
+		if order.Heard != nil {
+			order.Heard(stated)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		stated := p.reader.ReadAnswer(response.StatusCode, response.Header)
 		if stated.Attempt == order.Attempt || stated.Attempt == "" && stated.NotRun {
 			return response, stated, nil
 		}
@@ -246,8 +261,8 @@
 	return nil
 }
 
-// Look asks an endpoint for its load by its health check.
-func (p *Pool) Look(ctx context.Context, address, path string) (mtexchange.Stated, error) {
+// Look asks an endpoint for its load by its health check; heard is told what it states.
+func (p *Pool) Look(ctx context.Context, address, path string, heard func(stated mtexchange.Stated)) (mtexchange.Stated, error) {
 	limited, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	order := Order{
@@ -256,6 +271,7 @@
 		Target:     path,
 		Host:       address,
 		Idempotent: true,
+		Heard:      heard,
 	}
 	reply, _, err := p.Send(limited, order, time.Now().Add(lookTimeout))
 	if err != nil {
--- a/internal/core/mtexchange/stated.go
+++ b/internal/core/mtexchange/stated.go
@@ -1,6 +1,10 @@
 package mtexchange
 
-import "github.com/mangotack/mangotack/internal/core/mtplacer"
+import (
+	"time"
+
+	"github.com/mangotack/mangotack/internal/core/mtplacer"
+)
 
 // Stated is what an endpoint says with an answer.
 type Stated struct {
@@ -12,6 +16,12 @@
 	NotRun bool
 	// Moved is set when another endpoint answered than the one named.
 	Moved bool
+	// Leaving is set when the endpoint states that it leaves.
+	Leaving bool
+	// Rest is for how long an endpoint that did not run the call wants no others, or 0; RestUnread is what it said in place of
+	// a time, or empty.
+	Rest       time.Duration
+	RestUnread string
 	// Report is the endpoint's load; it is valid when Reported is set.
 	Report   mtplacer.Report
 	Reported bool
--- a/internal/core/mtplacer/admit.go
+++ b/internal/core/mtplacer/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -42,8 +43,8 @@
 // admit decides on arrival whether a request may wait.
 func (p *Placer) admit(request *Request, now time.Time) *Refusal {
 	room := p.roomNow(now)
-	if room.endpoints == 0 {
-		return p.refuse(request, NoEndpoint, 0, room, now)
+	if room.endpoints == 0 || !p.hasOther(request, now) {
+		return p.refuseClosed(request, room, now)
 	}
 	if !p.canEnd(request, now) {
 		return p.refuseHopeless(request, room, now)
@@ -61,7 +62,7 @@
 		if !waits && ahead >= room.spare() {
 			return p.refuseLate(request, ahead, room, now)
 		}
-		request.giveUp = earlier(now.Add(time.Duration(returnPart*float64(request.Deadline.Sub(now)))), p.lastStart(request))
+		request.giveUp = earlier(now.Add(time.Duration(returnPart*float64(request.Deadline.Sub(now)))), p.lastStart(request, now))
 		return nil
 	}
 	wait := time.Duration(0)
@@ -148,11 +149,34 @@
 	return p.refuse(request, Overload, 0, room, now)
 }
 
+// hasOther reports whether any endpoint is left for a request beside those that had it already.
+func (p *Placer) hasOther(request *Request, now time.Time) bool {
+	return len(request.Avoid) == 0 || slices.ContainsFunc(p.targets, func(target *Target) bool {
+		return target.IsOpen(now) && !slices.Contains(request.Avoid, target.ID)
+	})
+}
+
+// refuseClosed refuses a request of a service without an endpoint in use. If endpoints want no requests for a time, its caller is
+// not told to come back before the first of them does.
+func (p *Placer) refuseClosed(request *Request, room room, now time.Time) *Refusal {
+	refusal := p.refuse(request, NoEndpoint, 0, room, now)
+	opens := time.Time{}
+	for _, target := range p.targets {
+		if !target.Draining && (opens.IsZero() || target.rested.Before(opens)) {
+			opens = target.rested
+		}
+	}
+	if !opens.IsZero() {
+		refusal.After = max(refusal.After, opens.Sub(now))
+	}
+	return refusal
+}
+
 // due returns when a waiting request has to be decided on again although nothing has happened to any endpoint.
-func (p *Placer) due(request *Request) time.Time {
+func (p *Placer) due(request *Request, now time.Time) time.Time {
 	switch {
 	case request.Spare:
-		return p.lastStart(request)
+		return p.lastStart(request, now)
 	case request.late:
 		return request.giveUp
 	default:
@@ -161,7 +185,10 @@
 }
 
 // lastStart returns when a request must be sent at the latest to end before its deadline.
-func (p *Placer) lastStart(request *Request) time.Time {
+func (p *Placer) lastStart(request *Request, now time.Time) time.Time {
+	if p.workOf(request).isDoubtful(now) {
+		return request.Deadline
+	}
 	return request.Deadline.Add(-p.cautious(p.workOf(request).value(), 1))
 }
 
@@ -185,6 +212,11 @@
 	rest := p.queue[:0]
 	for _, request := range p.queue {
 		switch {
+		case room.endpoints == 0, !p.hasOther(request, now):
+			drops = append(drops, Drop{
+				ID:      request.ID,
+				Refusal: p.refuseClosed(request, room, now),
+			})
 		case !p.canEnd(request, now):
 			drops = append(drops, Drop{
 				ID:      request.ID,
--- a/internal/core/mtplacer/choose.go
+++ b/internal/core/mtplacer/choose.go
@@ -259,7 +259,7 @@
 // withLooked adds the endpoints that were asked for a request to the sample that is drawn for it, as far as they are in use.
 func (p *Placer) withLooked(sample []*Target, request *Request, now time.Time) []*Target {
 	for _, target := range request.looked {
-		if target.Draining || target.IsEjected(now) || slices.Contains(sample, target) || !slices.Contains(p.targets, target) {
+		if !target.IsOpen(now) || target.IsEjected(now) || slices.Contains(sample, target) || !slices.Contains(p.targets, target) {
 			continue
 		}
 		sample = append(sample, target)
@@ -279,7 +279,7 @@
 func (p *Placer) usable(now time.Time) []*Target {
 	p.staying, p.healthy = p.staying[:0], p.healthy[:0]
 	for _, target := range p.targets {
-		if target.Draining {
+		if !target.IsOpen(now) {
 			continue
 		}
 		p.staying = append(p.staying, target)
--- a/internal/core/mtplacer/feasible.go
+++ b/internal/core/mtplacer/feasible.go
@@ -23,6 +23,8 @@
 	// turned away since: an estimate that is too high would never be corrected otherwise.
 	trialGap     = time.Second
 	trialBlocked = 3
+	// samplesLeast is the number of answers that an estimate needs to turn requests away: a guess turns none away.
+	samplesLeast = 3
 )
 
 // inTime returns the options that should answer a request before its deadline, in the same order.
@@ -42,13 +44,20 @@
 	return p.cautious(work.value(), 1) <= request.Deadline.Sub(now) || work.isDoubtful(now)
 }
 
-// isDoubtful reports whether the estimate has turned away all requests for so long that it needs a new sample.
+// isDoubtful reports whether the estimate rests on too few samples, or has turned away all requests for so long that it needs a
+// new one.
 func (w *work) isDoubtful(now time.Time) bool {
+	return w.mean.count < samplesLeast || w.isBlocked(now)
+}
+
+// isBlocked reports whether the estimate has turned away all requests for a while.
+func (w *work) isBlocked(now time.Time) bool {
 	return w.blocked >= trialBlocked && now.Sub(w.granted) >= trialGap
 }
 
 // sent records that a request was sent, so that its end gives a sample.
 func (w *work) sent(now time.Time) {
+	w.trial = w.trial || w.isBlocked(now)
 	w.granted = now
 	w.blocked = 0
 }
--- a/internal/core/mtplacer/load_test.go
+++ b/internal/core/mtplacer/load_test.go
@@ -104,3 +104,22 @@
 		})
 	}
 }
+
+// Work was five times as long for a while, longer than the route allows; the estimate of that time must not turn callers away for
+// good once the endpoints are as fast as before.
+func TestEstimateThatWasTooHighIsCorrected(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			pool := newSite(17, 2, seed, false)
+			pool.work = 800 * time.Millisecond
+			pool.objective = 400 * time.Millisecond
+			pool.deadline = time.Second
+			pool.stops = true
+			pool.arrive(0, 10*time.Second, 20)
+			pool.at(5*time.Second, func() { pool.work = 160 * time.Millisecond })
+			pool.play()
+			isServed := func(o outcome) bool { return o.served }
+			require.Greater(t, pool.share(8*time.Second, 10*time.Second, isServed), 0.9)
+		})
+	}
+}
--- a/internal/core/mtplacer/placer.go
+++ b/internal/core/mtplacer/placer.go
@@ -215,7 +215,7 @@
 	for _, request := range p.queue {
 		if !hasRoom {
 			rest = append(rest, request)
-			binding.wakeAt(p.due(request))
+			binding.wakeAt(p.due(request, now))
 			continue
 		}
 		grant, again := p.choose(request, now, &binding.Looks)
@@ -227,7 +227,7 @@
 			continue
 		}
 		rest = append(rest, request)
-		binding.wakeAt(p.due(request))
+		binding.wakeAt(p.due(request, now))
 		if !again.IsZero() {
 			binding.wakeAt(again)
 		}
--- a/internal/core/mtplacer/target.go
+++ b/internal/core/mtplacer/target.go
@@ -16,6 +16,10 @@
 	ejectionLongest = 6 * time.Second
 	// unseenPause is how long an endpoint that did not tell its figures is passed over.
 	unseenPause = 300 * time.Millisecond
+	// restMost bounds the time for which an endpoint may keep requests away: a longer one is an error of the endpoint.
+	restMost = 5 * time.Minute
+	// hearsayMost bounds the time for which an endpoint gets no requests because of what it said to another instance.
+	hearsayMost = time.Second
 	// coldFactor is how much longer work takes on an endpoint that has just started.
 	coldFactor = 2
 	// failureWeight is the weight of one result in the share of failures.
@@ -79,8 +83,14 @@
 	looking  bool
 	lookedAt time.Time
 	// spent is the number of looks beyond the budget's rate, at the moment counted.
-	spent    float64
-	counted  time.Time
+	spent   float64
+	counted time.Time
+	// rested is until when the endpoint wants no requests.
+	rested time.Time
+	// hearsay is set when it said so to another instance.
+	hearsay bool
+	// served is when the last request was served.
+	served   time.Time
 	failures int
 	failing  float64
 	ejected  time.Time
@@ -102,6 +112,43 @@
 	return now.Before(t.ejected)
 }
 
+// IsResting reports whether the endpoint has asked for a time without requests that is not over.
+func (t *Target) IsResting(now time.Time) bool {
+	return now.Before(t.rested)
+}
+
+// RestLeft returns for how long the endpoint wants no requests of this instance, or 0; what it said to others does not count.
+func (t *Target) RestLeft(now time.Time) time.Duration {
+	if t.hearsay {
+		return 0
+	}
+	return max(0, t.rested.Sub(now))
+}
+
+// IsOpen reports whether the endpoint may get requests and looks.
+func (t *Target) IsOpen(now time.Time) bool {
+	return !t.Draining && !t.IsResting(now)
+}
+
+// Rest keeps requests and looks away for a time; after it one request goes first, and more when that one was served.
+func (t *Target) Rest(rest time.Duration, now time.Time) {
+	if until := now.Add(min(rest, restMost)); until.After(t.rested) {
+		t.rested = until
+	}
+	t.hearsay = false
+	t.failures = max(t.failures, failuresToEject)
+}
+
+// RestAsOthers does the same for a time that the endpoint said to another instance. It may have meant that one alone, so the time
+// is bounded, and an endpoint that serves this instance stays in use.
+func (t *Target) RestAsOthers(rest time.Duration, now time.Time) {
+	if t.IsResting(now) || now.Sub(t.served) < hearsayMost {
+		return
+	}
+	t.Rest(min(rest, hearsayMost), now)
+	t.hearsay = true
+}
+
 func (t *Target) start() {
 	t.inflight++
 }
@@ -111,6 +158,7 @@
 	switch result.Verdict {
 	case Served:
 		t.failures = 0
+		t.served = now
 		t.backoff = 0
 		t.ejected = time.Time{}
 		t.failing -= failureWeight * t.failing
--- a/internal/core/mtplacer/work.go
+++ b/internal/core/mtplacer/work.go
@@ -49,6 +49,8 @@
 	granted time.Time
 	// blocked is the number of requests since then that were turned away because no host could end them in time.
 	blocked int
+	// trial is set while a request is under way that was sent because the estimate had turned all others away.
+	trial bool
 }
 
 func newWork(objective time.Duration) *work {
@@ -74,6 +76,12 @@
 }
 
 func (w *work) learn(sample time.Duration) {
+	if w.trial {
+		// The estimate had turned all requests away, and this one was served.
+		w.mean.value = float64(sample)
+		w.mean.count = 0
+		w.trial = false
+	}
 	w.mean.add(float64(sample))
 }
 
--- /dev/null
+++ b/internal/core/mtregistry/mark_test.go
@@ -0,0 +1,66 @@
+package mtregistry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func isDraining(r *Registry, id string) bool {
+	draining := false
+	r.Entries(func(entry Entry, _ time.Time) {
+		draining = draining || entry.ID == id && entry.Draining
+	})
+	return draining
+}
+
+func TestReadyEntryDoesNotUndoTheWordOfAnEndpointThatLeaves(t *testing.T) {
+	registry := withEntry("one")
+	require.True(t, registry.Leave(Mark{ID: "one"}, t0))
+	require.True(t, isDraining(registry, "one"))
+	require.False(t, registry.Leave(Mark{ID: "one"}, t0), "no news")
+	registry.Put(Entry{ID: "one"}, t0.Add(time.Second))
+	require.True(t, isDraining(registry, "one"))
+	require.True(t, registry.Remove("one", t0.Add(2*time.Second)))
+	registry.Put(Entry{ID: "one"}, t0.Add(3*time.Second))
+	require.True(t, isDraining(registry, "one"), "the same process, registered once more")
+}
+
+func TestMarkHoldsForOneProcessOnly(t *testing.T) {
+	registry := NewRegistry()
+	registry.Leave(Mark{ID: "one", Born: 1}, t0)
+	registry.Put(Entry{ID: "one", Born: 2}, t0)
+	require.False(t, isDraining(registry, "one"))
+	registry.Put(Entry{ID: "one", Born: 1}, t0)
+	require.True(t, isDraining(registry, "one"), "the mark came before the entry")
+	require.False(t, isDraining(registry, "two"))
+}
+
+func TestMarksToTellAreThoseTheStoreDoesNotTell(t *testing.T) {
+	registry := withEntry("one")
+	registry.Put(Entry{ID: "two"}, t0)
+	registry.Leave(Mark{ID: "one"}, t0)
+	registry.Leave(Mark{ID: "unknown"}, t0)
+	require.Equal(t, []Mark{{ID: "one"}}, registry.Marks(8))
+	registry.Put(Entry{ID: "one", Draining: true}, t0)
+	require.Empty(t, registry.Marks(8))
+	for n := range 40 {
+		id := fmt.Sprint("e", n)
+		registry.Put(Entry{ID: id}, t0)
+		registry.Leave(Mark{ID: id}, t0)
+	}
+	require.Len(t, registry.Marks(8), 8)
+}
+
+func TestMarkOutlivesALapsedEntryButNotForEver(t *testing.T) {
+	registry := withEntry("one")
+	registry.Leave(Mark{ID: "one"}, t0)
+	registry.ForgetMarks(t0.Add(time.Hour))
+	registry.Remove("one", t0.Add(time.Hour))
+	registry.ForgetMarks(t0.Add(time.Hour + markLife))
+	require.Len(t, registry.marks, 1)
+	registry.ForgetMarks(t0.Add(time.Hour + markLife + time.Second))
+	require.Empty(t, registry.marks)
+}
--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -8,6 +8,8 @@
 package mtregistry
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -31,9 +33,21 @@
 	WarmUp time.Duration
 }
 
+// markLife is how long the word of an endpoint that leaves is kept when its entry is no longer there: the store may still
+// bring back an entry that has lapsed.
+const markLife = 10 * time.Minute
+
+// Mark says that one incarnation of an endpoint has said that it leaves.
+type Mark struct {
+	ID   string
+	Born int64
+}
+
 // Registry holds the entries by ID.
 type Registry struct {
 	entries map[string]*kept
+	// marks hold when each mark was set, or when its entry was last seen.
+	marks map[Mark]time.Time
 	// unsteady is until when a removal may be a lapse.
 	unsteady time.Time
 }
@@ -41,6 +55,8 @@
 type kept struct {
 	entry Entry
 	warm  time.Time
+	// said is set when the entry itself says that the endpoint drains.
+	said bool
 	// lapsed is when the entry went missing; zero while it is present.
 	lapsed time.Time
 }
@@ -49,6 +65,7 @@
 func NewRegistry() *Registry {
 	return &Registry{
 		entries: map[string]*kept{},
+		marks:   map[Mark]time.Time{},
 	}
 }
 
@@ -65,6 +82,10 @@
 		r.entries[entry.ID] = found
 	}
 	found.entry = entry
+	found.said = entry.Draining
+	if mark := markOf(entry); !r.marks[mark].IsZero() {
+		found.entry.Draining = true
+	}
 	found.warm = now.Add(entry.WarmUp)
 	found.lapsed = time.Time{}
 }
@@ -94,6 +115,52 @@
 	}
 }
 
+func markOf(entry Entry) Mark {
+	return Mark{
+		ID:   entry.ID,
+		Born: entry.Born,
+	}
+}
+
+// Leave takes the word of an endpoint that it leaves, which holds for this incarnation whatever its entry says later, and
+// reports whether it is news.
+func (r *Registry) Leave(mark Mark, now time.Time) bool {
+	if !r.marks[mark].IsZero() {
+		return false
+	}
+	r.marks[mark] = now
+	if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark {
+		found.entry.Draining = true
+	}
+	return true
+}
+
+// Marks returns the endpoints that have said that they leave while their entries say that they don't, in the order of their
+// IDs, up to a number of them.
+func (r *Registry) Marks(most int) []Mark {
+	var marks []Mark
+	for mark := range r.marks {
+		if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark && !found.said {
+			marks = append(marks, mark)
+		}
+	}
+	slices.SortFunc(marks, func(a, b Mark) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return marks[:min(len(marks), most)]
+}
+
+// ForgetMarks drops the marks of endpoints whose entries are long gone.
+func (r *Registry) ForgetMarks(now time.Time) {
+	for mark, seen := range r.marks {
+		if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark {
+			r.marks[mark] = now
+		} else if now.Sub(seen) > markLife {
+			delete(r.marks, mark)
+		}
+	}
+}
+
 // Expire removes lapsed entries that had time to register again, and returns their IDs.
 func (r *Registry) Expire(now time.Time) []string {
 	var gone []string
--- a/internal/node/mtgateway/attempt.go
+++ b/internal/node/mtgateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtheader"
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtexchange"
 	"github.com/mangotack/mangotack/internal/core/mtplacer"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
 )
@@ -177,9 +179,18 @@
 		Body:       a.call.Body,
 		Attempt:    a.id,
 		Idempotent: a.route.Idempotent,
+		Heard: func(stated mtexchange.Stated) {
+			a.gateway.heard(grant.Target, stated)
+		},
+		Allowed: func() bool {
+			return a.gateway.isGranted(grant, started, time.Now())
+		},
 	}, a.end)
 	now := time.Now()
 	verdict := a.verdict(ctx, reply, fate)
+	if errors.Is(err, mtupstream.ErrWithdrawn) {
+		verdict = mtplacer.Abandoned
+	}
 	var report *mtplacer.Report
 	size := int64(0)
 	if reply != nil {
--- a/internal/node/mtgateway/desk.go
+++ b/internal/node/mtgateway/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mangotack/mangotack/internal/core/mtexchange"
 	"github.com/mangotack/mangotack/internal/core/mtplacer"
 )
 
@@ -117,7 +118,9 @@
 	if table := g.table.Load(); table != nil {
 		path = table.Services[service].Health
 	}
-	stated, err := g.pool.Look(context.Background(), address, path)
+	stated, err := g.pool.Look(context.Background(), address, path, func(stated mtexchange.Stated) {
+		g.heard(target, stated)
+	})
 	now := time.Now()
 	g.meter.looks.Inc()
 	g.mu.Lock()
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -92,7 +92,9 @@
 	placers  map[string]*mtplacer.Placer
 	seats    map[uint64]*seat
 	wakes    map[string]time.Time
-	last     uint64
+	// unreadRests are the endpoints whose Retry-After could not be read; each is logged once.
+	unreadRests map[string]bool
+	last        uint64
 	// looks is the most looks at one endpoint a second.
 	looks float64
 }
@@ -134,6 +136,8 @@
 		placers:   map[string]*mtplacer.Placer{},
 		seats:     map[uint64]*seat{},
 		wakes:     map[string]time.Time{},
+
+		unreadRests: map[string]bool{},
 	}
 	gateway.current.Store(settings)
 	gateway.addGauges()
@@ -344,6 +348,7 @@
 			return
 		case now := <-ticker.C:
 			g.pool.Sweep(now)
+			g.forgetMarks(now)
 			g.meet(ctx, now)
 		}
 	}
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -103,6 +103,9 @@
 	if accepted {
 		g.apply(batch, "peer", age, now)
 	}
+	if marks := changes.GetMarks(); len(marks) > 0 {
+		g.Marked(marks, now)
+	}
 	return accepted
 }
 
@@ -212,6 +215,9 @@
 		Feed:  request.GetFeed(),
 		Whole: true,
 	}
+	if mtnews.Feed(request.GetFeed()) == mtnews.Endpoints {
+		changes.Marks = g.Marks(time.Now())
+	}
 	f := g.feedOf(request.GetFeed())
 	if f == nil {
 		return nil, twirp.InvalidArgumentError("feed", "expected the number of a feed")
--- a/internal/node/mtgateway/tables.go
+++ b/internal/node/mtgateway/tables.go
@@ -132,6 +132,7 @@
 		if !g.registry.Has(id) {
 			g.pool.Drop(g.targets[id].Address)
 			delete(g.targets, id)
+			delete(g.unreadRests, id)
 		}
 	}
 	for service, placer := range g.placers {
