Bytes without end have a bound

A skipped late answer with an endless body was read for as long as it lasted. Answers of up to 1 MB were kept whole whatever their number. Callers had no bound for a body and no time for a head before the first configuration, and peers and the store none for a head below 10 MB, peers none for a body.

Ruled out: chunk extensions, chunk lines and trailers, which net/http's reader bounds itself; the tests hold that.

Change: heads of one request 64 KiB in all, interim and skipped answers included; bodies of skipped answers 256 KiB; of looks 16 KiB; long bodies held in memory 32 MiB together, given back when the collector frees them, and passed on as they come beyond that. Beyond a bound the connection is closed, the request lost and the endpoint counted as failing. Bounds for callers before the first configuration, for pages, for peers' and the store's answers.

--- a/internal/adapter/mtingress/connection.go
+++ b/internal/adapter/mtingress/connection.go
@@ -119,7 +119,7 @@
 
 // read returns the next request, or the answer to one that can't be read, or neither at the end of the connection.
 func (c *connection) read() (*Call, *Answer) {
-	limits := c.server.limits()
+	limits := c.server.limits().bounded()
 	if !c.await(limits) {
 		return nil, nil
 	}
--- a/internal/adapter/mtingress/server.go
+++ b/internal/adapter/mtingress/server.go
@@ -17,6 +17,27 @@
 	Idle       time.Duration
 }
 
+// The limits that hold while no configuration sets others.
+const (
+	bodyDefault       = 1 << 20
+	headerTimeDefault = 10 * time.Second
+	idleDefault       = 30 * time.Second
+)
+
+// bounded returns the limits with a bound for each that has none.
+func (l Limits) bounded() Limits {
+	if l.Body <= 0 {
+		l.Body = bodyDefault
+	}
+	if l.HeaderTime <= 0 {
+		l.HeaderTime = headerTimeDefault
+	}
+	if l.Idle <= 0 {
+		l.Idle = idleDefault
+	}
+	return l
+}
+
 // handler answers calls; nil cuts the connection.
 type handler interface {
 	Handle(ctx context.Context, call *Call) *Answer
--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -40,6 +40,7 @@
 type Pool struct {
 	reader reader
 	dialer net.Dialer
+	kept   keptBytes
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -26,16 +26,21 @@
 type conn struct {
 	address string
 	socket  net.Conn
+	source  *boundedReader
 	reader  *bufio.Reader
 	used    time.Time
 	expires time.Time
 }
 
 func newConn(socket net.Conn, address string) *conn {
+	source := &boundedReader{
+		socket: socket,
+	}
 	return &conn{
 		address: address,
 		socket:  socket,
-		reader:  bufio.NewReaderSize(socket, readBuffer),
+		source:  source,
+		reader:  bufio.NewReaderSize(source, readBuffer),
 	}
 }
 
@@ -60,6 +65,16 @@
 	Heard func(stated mtexchange.Stated)
 	// Allowed is asked when the connection is open; the request is not sent unless it returns true.
 	Allowed func() bool
+	// isLook is set for a look, whose answer is hardly read.
+	isLook bool
+}
+
+// most returns the size up to which the body of the answer is read whole, in bytes.
+func (o Order) most() int64 {
+	if o.isLook {
+		return lookMost
+	}
+	return bodyKept
 }
 
 // Reply is a whole answer, or the start of a long one.
@@ -133,7 +148,7 @@
 		// The rest of the body is still due on this connection, so nothing else may follow the answer.
 		response.Close = true
 	}
-	return p.collect(ctx, c, response, stated, stop)
+	return p.collect(ctx, c, order, response, stated, stop)
 }
 
 func writeOrder(to net.Conn, order Order) (int64, error) {
@@ -172,6 +187,8 @@
 	request := &http.Request{
 		Method: order.Method,
 	}
+	c.source.allow(headMost, errHeadTooLong)
+	skipped := int64(0)
 	for range strays {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -187,16 +204,22 @@
 		if stated.Attempt == order.Attempt || stated.Attempt == "" && stated.NotRun {
 			return response, stated, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		heads := c.source.left
+		c.source.allow(skipMost-skipped, errSkipTooLong)
+		n, err := io.Copy(io.Discard, response.Body)
+		if err != nil {
 			return nil, stated, err
 		}
+		skipped += n
+		c.source.allow(heads, errHeadTooLong)
 	}
 	return nil, mtexchange.Stated{}, errNotOurs
 }
 
 // collect reads a short answer whole, and hands on the rest of a long one.
-func (p *Pool) collect(ctx context.Context, c *conn, response *http.Response, stated mtexchange.Stated, stop func() bool) (*Reply, Fate, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, bodyKept))
+func (p *Pool) collect(ctx context.Context, c *conn, order Order, response *http.Response, stated mtexchange.Stated, stop func() bool) (*Reply, Fate, error) {
+	c.source.allow(bodyMost, errBodyTooLong)
+	body, whole, err := p.kept.readBody(response, order.most())
 	if err != nil {
 		stop()
 		c.close()
@@ -209,7 +232,7 @@
 		Length: int64(len(body)),
 		Stated: stated,
 	}
-	if len(body) < bodyKept {
+	if whole {
 		if stop() {
 			p.finish(c, response)
 		}
@@ -272,6 +295,7 @@
 		Host:       address,
 		Idempotent: true,
 		Heard:      heard,
+		isLook:     true,
 	}
 	reply, _, err := p.Send(limited, order, time.Now().Add(lookTimeout))
 	if err != nil {
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -117,9 +117,12 @@
 		budgets:  newBudgets(settings.RetryPart, settings.RetryWindow),
 		patience: newPatience(),
 		peers: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConns:    2,
-				IdleConnTimeout: wholeTimeout,
+			Transport: boundedTransport{
+				&http.Transport{
+					MaxIdleConns:           2,
+					IdleConnTimeout:        wholeTimeout,
+					MaxResponseHeaderBytes: peerHeadMost,
+				},
 			},
 		},
 		crews: mtsteer.Crews{
@@ -183,6 +186,9 @@
 	// pageTimeout bounds the reading of a request for a page, and pageIdle the time between two.
 	pageTimeout = 3 * time.Second
 	pageIdle    = 20 * time.Second
+	// pageHeadMost and pageBodyMost bound a request for a page, in bytes; the longest one names a feed and an offset.
+	pageHeadMost = 16 << 10
+	pageBodyMost = 16 << 10
 )
 
 func (g *Gateway) listenPage(address string, handler http.Handler) error {
@@ -191,9 +197,11 @@
 		return err
 	}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           http.MaxBytesHandler(handler, pageBodyMost),
 		ReadHeaderTimeout: pageTimeout,
+		ReadTimeout:       pageTimeout,
 		IdleTimeout:       pageIdle,
+		MaxHeaderBytes:    pageHeadMost,
 	}
 	g.pages = append(g.pages, server)
 	go func() {
--- a/internal/soak/mtsoak/endpoint.go
+++ b/internal/soak/mtsoak/endpoint.go
@@ -160,6 +160,9 @@
 	case mtschedule.EndpointLose:
 		panic(http.ErrAbortHandler)
 	case mtschedule.EndpointSpoil:
+		if hash(id)%endlessPart == 0 {
+			sendEndless(to)
+		}
 		to.Header().Set("Content-Length", fmt.Sprint(len(answer)+1))
 		_, _ = io.WriteString(to, answer)
 		panic(http.ErrAbortHandler)
@@ -173,3 +176,20 @@
 	// An error here is that of a gateway that has left, which the ledger sees from the caller.
 	_, _ = io.WriteString(to, answer)
 }
+
+// endlessPart is the part of the spoilt answers, as a divisor, whose head does not end.
+const endlessPart = 3
+
+// sendEndless sends header fields until the other side closes, and ends the connection.
+func sendEndless(to http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(to).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	for err == nil {
+		_, err = io.WriteString(conn, "Field: value\r\n")
+	}
+	panic(http.ErrAbortHandler)
+}
