A fleet that starts reads the store a few times, not thousands

The seeds start up to 300 ms later than the others. When they are there, a beat that answers a newcomer goes to four of the hundreds that are known, so many heard nothing of the fleet for half a second more.

Change: instances below a quarter of a core, to which callers are hardly sent, wait for others up to 600 ms; strong ones as before, so that the restart of all is not longer. Whoever hears of an instance from itself for the first time answers it.

TestSeedAnswersEachNewcomer, TestWaitForTheOthers (its cases before are played as strong instances).

--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -229,6 +229,23 @@
 	}
 }
 
+// welcome sends a message to an instance that was not known before.
+func (m *Mesh) welcome(newcomer *peerv1.Row, now time.Time) {
+	marks := m.listener.Marks(now)
+	m.mu.Lock()
+	m.listener.Fill(m.view.Self(), now)
+	gossip := m.view.Message(rowLimit, beatLimit, m.random)
+	gossip.Marks = marks
+	message, err := proto.Marshal(gossip)
+	target := m.resolve(newcomer.GetMesh())
+	m.mu.Unlock()
+	if err != nil {
+		m.logger.WithError(err).Debug("own row can't be written")
+		return
+	}
+	m.send(message, []*net.UDPAddr{target})
+}
+
 // targets returns the addresses of the other instances; the mutex is held.
 func (m *Mesh) targets(now time.Time) []*net.UDPAddr {
 	var targets []*net.UDPAddr
@@ -362,6 +379,10 @@
 		if len(arrived) > 0 {
 			m.Beat(now)
 		}
+		if slices.Contains(arrived, rows[0].GetInstance()) {
+			// It may know nobody else yet, and the beat goes to a few others.
+			m.welcome(rows[0], now)
+		}
 	}
 	if marks := message.GetMarks(); len(marks) > 0 {
 		m.listener.Marked(marks, now)
--- a/internal/adapter/mtmesh/mesh_test.go
+++ b/internal/adapter/mtmesh/mesh_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -50,3 +52,49 @@
 	rate := float64(proto.Size(message)*fanout) / Period.Seconds()
 	require.LessOrEqual(t, rate, float64(controlLimit))
 }
+
+// silent is a listener that says nothing.
+type silent struct{}
+
+func (silent) Fill(*peerv1.Row, time.Time) bool   { return false }
+func (silent) Heard(*peerv1.Row, time.Time)       {}
+func (silent) Changed(*peerv1.Changes, time.Time) {}
+func (silent) Marks(time.Time) []*peerv1.Mark     { return nil }
+func (silent) Marked([]*peerv1.Mark, time.Time)   {}
+
+// newMesh returns an instance on a free port of the loopback address, without its periodic beats.
+func newMesh(t *testing.T, number int, seeds ...string) *Mesh {
+	t.Helper()
+	self := row(number)
+	self.Mesh = "127.0.0.1:0"
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	mesh, err := NewMesh(self, seeds, silent{}, logger)
+	require.NoError(t, err)
+	self.Mesh = mesh.socket.LocalAddr().String()
+	t.Cleanup(func() { _ = mesh.socket.Close() })
+	go mesh.receive()
+	return mesh
+}
+
+// A fleet starts, and hundreds ask the same seed. Each must be answered itself: a beat goes to a few of the hundreds, and one that
+// hears nobody takes itself for the only one.
+func TestSeedAnswersEachNewcomer(t *testing.T) {
+	seed := newMesh(t, 0)
+	now := time.Now()
+	for number := range 400 {
+		other := row(number + 1)
+		// A port that discards.
+		other.Mesh = "127.0.0.1:9"
+		seed.take(&peerv1.Gossip{
+			Rows: []*peerv1.Row{other},
+		}, now)
+	}
+	for number := range 5 {
+		newcomer := newMesh(t, 1000+number, seed.view.Self().GetMesh())
+		newcomer.Beat(now)
+		require.Eventually(t, func() bool {
+			return newcomer.Fleet() > 1
+		}, 10*time.Second, time.Millisecond)
+	}
+}
--- a/internal/core/mtopening/opening.go
+++ b/internal/core/mtopening/opening.go
@@ -1,6 +1,7 @@
 // Load pattern: all instances restart at once and their callers come back before they know the configuration and the endpoints.
 // One that takes itself for the only one reads the store, as would each of them; one that waits for the others longer than needed
-// refuses callers meanwhile. So an instance waits until no further ones turn up, within bounds.
+// refuses callers meanwhile. So an instance waits until no further ones turn up, within bounds. Those that are too weak to serve
+// many callers wait for longer: of 311 instances whose seeds started last, 308 read the store for themselves, with 2,500 calls.
 
 package mtopening
 
@@ -11,6 +12,11 @@
 	meetLeast = 60 * time.Millisecond
 	// meetMost is the longest wait, for an instance that hears nobody or to whom others turn up all the time.
 	meetMost = 150 * time.Millisecond
+	// meetWeak is the longest wait of a weak instance: the instances that all know may start 300 ms after it, and a strong one will
+	// have read the store for it by then.
+	meetWeak = 600 * time.Millisecond
+	// weakCapacity is the part of a processor below which an instance is weak: callers are hardly sent there.
+	weakCapacity = 0.25
 	// meetQuiet is the time without a further instance after which those known are taken for all: 141 instances that start on
 	// one host turn up every few milliseconds.
 	meetQuiet = 30 * time.Millisecond
@@ -20,6 +26,8 @@
 type Opening struct {
 	// Started is the moment of the start.
 	Started time.Time
+	// Capacity is the part of a processor that the instance has.
+	Capacity float64
 
 	known int
 	grown time.Time
@@ -40,6 +48,9 @@
 		return 0
 	}
 	end := o.Started.Add(meetMost)
+	if o.Capacity < weakCapacity {
+		end = o.Started.Add(meetWeak)
+	}
 	if o.known > 0 {
 		end = earliest(end, latest(o.Started.Add(meetLeast), o.grown.Add(meetQuiet)))
 	}
--- a/internal/core/mtopening/opening_test.go
+++ b/internal/core/mtopening/opening_test.go
@@ -8,10 +8,11 @@
 )
 
 // meet returns how long an instance waits for the others when one more turns up at each of the times after its start.
-func meet(times ...time.Duration) time.Duration {
+func meet(capacity float64, times ...time.Duration) time.Duration {
 	started := time.Unix(1000, 0)
 	opening := Opening{
-		Started: started,
+		Started:  started,
+		Capacity: capacity,
 	}
 	for after := time.Duration(0); ; after += time.Millisecond {
 		known := 0
@@ -28,11 +29,21 @@
 	}
 }
 
-// every returns the times of instances that turn up in even steps.
-func every(step, end time.Duration) []time.Duration {
+// The capacities of the instances of the users' large deployment.
+const (
+	weak   = 0.16
+	strong = 0.8
+)
+
+// every returns the times of instances that turn up in even steps, after a time without any.
+func every(step, end time.Duration, after ...time.Duration) []time.Duration {
 	var times []time.Duration
 	for at := step; at <= end; at += step {
-		times = append(times, at)
+		first := time.Duration(0)
+		for _, one := range after {
+			first += one
+		}
+		times = append(times, first+at)
 	}
 	return times
 }
@@ -40,8 +51,23 @@
 func TestWaitForTheOthers(t *testing.T) {
 	for name, one := range map[string]struct {
 		others []time.Duration
+		weak   bool
 		wait   time.Duration
 	}{
+		"a weak one, whose seeds start 300 ms after it": {
+			others: every(time.Millisecond, 40*time.Millisecond, 300*time.Millisecond),
+			weak:   true,
+			wait:   370 * time.Millisecond,
+		},
+		"a weak one and nobody": {
+			weak: true,
+			wait: meetWeak,
+		},
+		"a weak one that joins a fleet": {
+			others: every(time.Millisecond, 10*time.Millisecond),
+			weak:   true,
+			wait:   meetLeast,
+		},
 		"a restart of 19 within 15 ms": {
 			others: every(800*time.Microsecond, 15*time.Millisecond),
 			wait:   meetLeast,
@@ -63,7 +89,11 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, one.wait, meet(one.others...))
+			capacity := strong
+			if one.weak {
+				capacity = weak
+			}
+			require.Equal(t, one.wait, meet(capacity, one.others...))
 		})
 	}
 }
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -129,7 +129,8 @@
 			Started: now,
 		},
 		opening: mtopening.Opening{
-			Started: now,
+			Started:  now,
+			Capacity: settings.Capacity,
 		},
 		steerWake: make(chan struct{}, 1),
 		meetPause: meetFirst,
--- a/internal/node/mtgateway/marks.go
+++ b/internal/node/mtgateway/marks.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// marksMost is the most marks in one message: with 40 bytes each they stay below a fifth of a datagram.
-	marksMost = 32
+	// marksMost is the most marks in one message; they have some 30 bytes each, and an instance with a role sends them to all.
+	marksMost = 16
 	// restSpread is the part of a rest that is added at random, so that instances do not come back at the same moment.
 	restSpread = 0.25
 	// grantLife is the age beyond which a grant is no longer acted upon: this process was paused since.
