Callers of endpoints that shed with room come back soon

Change: when no endpoint that refused was full by its own word, callers may come back after 20 ms. A further attempt for which no endpoint is left keeps the reason of the one before.

--- a/internal/core/mtplacer/admit.go
+++ b/internal/core/mtplacer/admit.go
@@ -34,6 +34,8 @@
 const (
 	// NoEndpoint means that the service has no endpoint in use.
 	NoEndpoint = "noendpoint"
+	// NoOther means that all endpoints in use have had the request.
+	NoOther = "noother"
 	// Overload means that the answer would come too late.
 	Overload = "overload"
 	// NoSpare means that no slot is free for an extra attempt.
@@ -43,9 +45,12 @@
 // admit decides on arrival whether a request may wait.
 func (p *Placer) admit(request *Request, now time.Time) *Refusal {
 	room := p.roomNow(now)
-	if room.endpoints == 0 || !p.hasOther(request, now) {
+	if room.endpoints == 0 {
 		return p.refuseClosed(request, room, now)
 	}
+	if !p.hasOther(request, now) {
+		return p.refuse(request, NoOther, 0, room, now)
+	}
 	if !p.canEnd(request, now) {
 		return p.refuseHopeless(request, room, now)
 	}
@@ -212,11 +217,16 @@
 	rest := p.queue[:0]
 	for _, request := range p.queue {
 		switch {
-		case room.endpoints == 0, !p.hasOther(request, now):
+		case room.endpoints == 0:
 			drops = append(drops, Drop{
 				ID:      request.ID,
 				Refusal: p.refuseClosed(request, room, now),
 			})
+		case !p.hasOther(request, now):
+			drops = append(drops, Drop{
+				ID:      request.ID,
+				Refusal: p.refuse(request, NoOther, 0, room, now),
+			})
 		case !p.canEnd(request, now):
 			drops = append(drops, Drop{
 				ID:      request.ID,
--- a/internal/node/mtgateway/attempt.go
+++ b/internal/node/mtgateway/attempt.go
@@ -57,6 +57,8 @@
 	spareOf mtplacer.Grant
 	after   time.Duration
 	why     string
+	// full is set when an endpoint that took no request was full, could not be reached, or did not tell.
+	full bool
 	// denied is set when the budget had no further attempt at the last question.
 	denied bool
 	// cancel ends all tries, and each of cancels the try of its number that is under way.
@@ -252,8 +254,11 @@
 		a.why = "lost"
 	case r.fate == mtupstream.Unsent:
 		a.why = "unreached"
+		a.full = true
 	case r.reply.Stated.NotRun:
 		a.why = "shed"
+		report := r.reply.Stated.Report
+		a.full = a.full || !r.reply.Stated.Reported || report.Running+report.Waiting >= report.Slots
 		a.drop(r.reply)
 	case r.reply.Status >= http.StatusInternalServerError && a.route.Idempotent && r.reply.Rest == nil:
 		ran = true
@@ -276,7 +281,7 @@
 
 // takeRefusal decides on a try that found no endpoint.
 func (a *attempt) takeRefusal(ctx context.Context, r result) *mtingress.Answer {
-	if !r.hedge {
+	if !r.hedge && r.refusal.Reason != mtplacer.NoOther {
 		a.why = r.refusal.Reason
 		a.refusal = r.refusal
 		a.after = r.refusal.After
@@ -401,17 +406,26 @@
 	}
 	after := a.after
 	if after <= 0 {
-		after = min(retryShed, time.Until(a.end)/3)
+		after = min(a.shedAfter(), time.Until(a.end)/3)
 	}
 	return refuse(status, a.why, max(after, retryLeast))
 }
 
 const (
-	// retryShed is when a caller should come back after endpoints that took no request, and retryLeast the least.
+	// retryShed is when a caller should come back after endpoints that were full, and retryLeast the least time, also after endpoints
+	// that took no request although they had room: the next one may take it.
 	retryShed  = 250 * time.Millisecond
 	retryLeast = 20 * time.Millisecond
 )
 
+// shedAfter returns when a caller should come back after endpoints that took no request.
+func (a *attempt) shedAfter() time.Duration {
+	if a.full {
+		return retryShed
+	}
+	return retryLeast
+}
+
 // giveUp answers a request whose time is over, or nothing to a caller that has left.
 func (a *attempt) giveUp(ctx context.Context) *mtingress.Answer {
 	defer a.cancel()
