A late refusal without an ID does not speak for the next request

Cause: an answer that says not run and carries no ID was taken for the request under way on any connection. A look has no ID; if an endpoint refuses one and sends a second copy late, the next request on the connection was told that it had not run and went to another endpoint, so that one that must run once could run twice.

Change: on a used connection such an answer is skipped as belonging to an earlier request; on a new one it still counts.

--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -201,7 +201,9 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if stated.Attempt == order.Attempt || stated.Attempt == "" && stated.NotRun {
+		// On a used connection a refusal without an ID may be the second copy of an earlier one.
+		isUsed := !c.used.IsZero()
+		if stated.Attempt == order.Attempt || stated.Attempt == "" && stated.NotRun && !isUsed {
 			return response, stated, nil
 		}
 		heads := c.source.left
--- a/internal/adapter/mtupstream/send_test.go
+++ b/internal/adapter/mtupstream/send_test.go
@@ -319,3 +319,103 @@
 	require.NoError(t, socket.SetDeadline(time.Now().Add(-time.Second)))
 	require.True(t, newConn(socket, e.address).isQuiet())
 }
+
+// A refusal without an ID that arrives on a used connection may be the second copy of an earlier one: to a look, which has no ID.
+// It must not tell that the next request was not run.
+func TestLateRefusalWithoutAnIDIsNotTakenForTheNextOne(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\nNotrun: 1\nContent-Length: 0\n\n"
+	e := newEndpoint(t, func(number int64, conn *net.TCPConn, _ *http.Request) bool {
+		if number == 1 {
+			return write(conn, refusal)
+		}
+		return write(conn, refusal+answer("2", "two"))
+	})
+	pool := newTestPool()
+	_, err := pool.Look(t.Context(), e.address, "/", nil)
+	require.NoError(t, err)
+	reply, fate, err := send(t, pool, e.address, "2", false)
+	require.NoError(t, err)
+	require.Equal(t, Answered, fate)
+	require.False(t, reply.Stated.NotRun)
+	require.Equal(t, "two", string(reply.Body))
+	require.EqualValues(t, 1, e.conns.Load())
+}
+
+// On a new connection nothing else can be answered: an endpoint that refuses before it has read the ID has not run the request.
+func TestRefusalWithoutAnIDOnANewConnectionIsTaken(t *testing.T) {
+	e := newEndpoint(t, func(_ int64, conn *net.TCPConn, _ *http.Request) bool {
+		return write(conn, "HTTP/1.1 503 Service Unavailable\nNotrun: 1\nContent-Length: 0\n\n")
+	})
+	reply, _, err := send(t, newTestPool(), e.address, "1", false)
+	require.NoError(t, err)
+	require.True(t, reply.Stated.NotRun)
+}
+
+// The second copy of an answer comes byte by byte, a part of it before the connection is used again and a part after.
+func TestSecondCopyThatArrivesAroundTheReuseIsNobodysAnswer(t *testing.T) {
+	copied := strings.ReplaceAll(answer("1", "one"), "\n", "\r\n")
+	for early := 0; early <= len(copied); early += 7 {
+		sent := make(chan struct{})
+		e := newEndpoint(t, func(number int64, conn *net.TCPConn, request *http.Request) bool {
+			id := request.Header.Get("Attempt")
+			if id == "1" {
+				if !write(conn, answer("1", "one")) {
+					return false
+				}
+				for i := range early {
+					if _, err := io.WriteString(conn, copied[i:i+1]); err != nil {
+						return false
+					}
+				}
+				close(sent)
+				return true
+			}
+			if number == 2 {
+				for i := early; i < len(copied); i++ {
+					if _, err := io.WriteString(conn, copied[i:i+1]); err != nil {
+						return false
+					}
+				}
+			}
+			return write(conn, answer("2", "two"))
+		})
+		pool := newTestPool()
+		order := Order{
+			Address: e.address,
+			Method:  http.MethodGet,
+			Target:  "/",
+			Host:    "a.example",
+			Header:  http.Header{"Attempt": {"1"}},
+			Attempt: "1",
+		}
+		reply, _, err := pool.Send(t.Context(), order, time.Now().Add(10*time.Second))
+		require.NoError(t, err)
+		require.Equal(t, "one", string(reply.Body))
+		<-sent
+		order.Header, order.Attempt = http.Header{"Attempt": {"2"}}, "2"
+		reply, fate, err := pool.Send(t.Context(), order, time.Now().Add(10*time.Second))
+		if err == nil {
+			require.Equal(t, "two", string(reply.Body), "%d bytes before the reuse", early)
+		} else {
+			require.Equal(t, Lost, fate, "%d bytes before the reuse", early)
+		}
+	}
+}
+
+// An order that is no longer allowed when its connection is open is not sent, and the connection is kept.
+func TestWithdrawnOrderIsNotSent(t *testing.T) {
+	e := newEndpoint(t, func(_ int64, conn *net.TCPConn, _ *http.Request) bool {
+		return write(conn, answer("2", "two"))
+	})
+	pool := newTestPool()
+	_, fate, err := pool.Send(t.Context(), Order{
+		Address: e.address,
+		Allowed: func() bool { return false },
+	}, time.Now().Add(10*time.Second))
+	require.ErrorIs(t, err, ErrWithdrawn)
+	require.Equal(t, Unsent, fate)
+	_, _, err = send(t, pool, e.address, "2", true)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, e.seen.Load())
+	require.EqualValues(t, 1, e.conns.Load())
+}
--- a/internal/node/mtgateway/news_test.go
+++ b/internal/node/mtgateway/news_test.go
@@ -40,12 +40,15 @@
 	logger.SetOutput(io.Discard)
 	gateway := &Gateway{
 		logger:   logger,
+		journal:  newJournal(logger),
 		formats:  numbers{},
 		news:     newNews(time.Now()),
 		pool:     mtupstream.NewPool(nil, nil),
 		registry: mtregistry.NewRegistry(),
 		targets:  map[string]*mtplacer.Target{},
 		placers:  map[string]*mtplacer.Placer{},
+
+		unreadRests: map[string]bool{},
 	}
 	gateway.current.Store(&Settings{})
 	return gateway
