A request that waits for its looks is not weighed again by each event

Change: while the pool is crowded, a request of which no look was answered yet is left until one is, or its time to answer is over.

--- a/internal/core/mtplacer/choose.go
+++ b/internal/core/mtplacer/choose.go
@@ -49,6 +49,10 @@
 
 // choose grants an endpoint to a request, or returns when to try again.
 func (p *Placer) choose(request *Request, now time.Time, looks *[]*Target) (*Grant, time.Time) {
+	if p.isCrowded(now) && request.isLooking(now) {
+		// Weighing the endpoints again for each event of a full pool costs more than a chance find of another request is worth.
+		return nil, now.Add(lookWait)
+	}
 	all := p.options(request, now)
 	if len(all) == 0 {
 		return nil, time.Time{}
@@ -83,6 +87,16 @@
 	}, time.Time{}
 }
 
+// isLooking reports whether none of the looks for a request was answered, and some may still be.
+func (r *Request) isLooking(now time.Time) bool {
+	if len(r.looked) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(r.looked, func(target *Target) bool {
+		return !target.looking || now.Sub(target.lookedAt) >= lookWait
+	})
+}
+
 // mayLook reports whether a request may still wait for figures.
 func (p *Placer) mayLook(request *Request, now time.Time) bool {
 	return p.canLook() && (request.lookedAt.IsZero() || now.Sub(request.lookedAt) < lookMost || p.isCrowded(now))
