--- a/internal/node/mtgateway/marks_test.go
+++ b/internal/node/mtgateway/marks_test.go
@@ -1,14 +1,19 @@
 package mtgateway
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtexchange"
 	"github.com/mangotack/mangotack/internal/core/mtplacer"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
+	"github.com/mangotack/mangotack/internal/core/mtroute"
 	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
 )
 
@@ -56,3 +61,30 @@
 	gateway.Marked(marks, now)
 	require.Len(t, gateway.Marks(now), marksMost)
 }
+
+// plain is an exchange without headers.
+type plain struct{}
+
+func (plain) ReadCall(http.Header) (string, time.Duration)           { return "1", time.Minute }
+func (plain) MarkCall(http.Header, string, time.Duration)            {}
+func (plain) ReadAnswer(int, http.Header) (stated mtexchange.Stated) { return stated }
+
+// The endpoint said that it leaves after it was chosen and before the request was sent.
+func TestRequestIsWithdrawnFromAnEndpointThatLeaves(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	gateway := newTestGateway()
+	gateway.meter = newMeter()
+	gateway.exchange = plain{}
+	a := newTestAttempt(&mtroute.Route{Name: "r"})
+	a.gateway = gateway
+	a.service = "menu"
+	a.end = time.Now().Add(time.Second)
+	a.call.Request = &http.Request{Method: http.MethodPost, RequestURI: "/", Header: http.Header{}}
+	target := &mtplacer.Target{ID: "e", Address: listener.Addr().String(), Draining: true}
+	found := a.send(context.Background(), mtplacer.Grant{Target: target})
+	require.ErrorIs(t, found.err, mtupstream.ErrWithdrawn)
+	require.Equal(t, mtupstream.Unsent, found.fate)
+	require.False(t, target.IsEjected(time.Now()), "the endpoint has not failed")
+}
