All marks have their turn in the messages

Cause: read in the diff: of more than 16 endpoints that leave while the store does not say so, the first 16 by ID were told again and again, and the others only when those were gone.

Change: each message has 16 drawn at random.

Result: TestMarksOfAMessageAreBounded asks for each of 48 in 200 messages; it failed before by construction (16 told).

--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -136,8 +136,8 @@
 }
 
 // Marks returns the endpoints that have said that they leave while their entries say that they don't, in the order of their
-// IDs, up to a number of them.
-func (r *Registry) Marks(most int) []Mark {
+// IDs.
+func (r *Registry) Marks() []Mark {
 	var marks []Mark
 	for mark := range r.marks {
 		if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark && !found.said {
@@ -147,7 +147,7 @@
 	slices.SortFunc(marks, func(a, b Mark) int {
 		return cmp.Compare(a.ID, b.ID)
 	})
-	return marks[:min(len(marks), most)]
+	return marks
 }
 
 // ForgetMarks drops the marks of endpoints whose entries are long gone.
--- a/internal/node/mtgateway/marks.go
+++ b/internal/node/mtgateway/marks.go
@@ -108,7 +108,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var marks []*peerv1.Mark
-	for _, mark := range g.registry.Marks(marksMost) {
+	known := g.registry.Marks()
+	// Each message has others, so that all are told in the end.
+	rand.Shuffle(len(known), func(i, j int) {
+		known[i], known[j] = known[j], known[i]
+	})
+	for _, mark := range known[:min(len(known), marksMost)] {
 		marks = append(marks, &peerv1.Mark{
 			Endpoint: mark.ID,
 			Born:     mark.Born,
--- a/internal/node/mtgateway/marks_test.go
+++ b/internal/node/mtgateway/marks_test.go
@@ -60,6 +60,13 @@
 	}
 	gateway.Marked(marks, now)
 	require.Len(t, gateway.Marks(now), marksMost)
+	told := map[string]bool{}
+	for range 200 {
+		for _, mark := range gateway.Marks(now) {
+			told[mark.GetEndpoint()] = true
+		}
+	}
+	require.Len(t, told, 3*marksMost, "each has its turn")
 }
 
 // plain is an exchange without headers.
