--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -208,9 +208,7 @@
 		})
 		few = few[:fanout]
 	}
-	gossip := m.view.Message(rowLimit, beatLimit, m.random)
-	gossip.Marks = marks
-	message, err := proto.Marshal(gossip)
+	message, err := m.message(marks)
 	row, failed := proto.Marshal(&peerv1.Gossip{
 		Rows:  []*peerv1.Row{m.view.Self()},
 		Marks: marks,
@@ -229,14 +227,19 @@
 	}
 }
 
+// message returns the next message to a few others; the mutex is held.
+func (m *Mesh) message(marks []*peerv1.Mark) ([]byte, error) {
+	gossip := m.view.Message(rowLimit, beatLimit, m.random)
+	gossip.Marks = marks
+	return proto.Marshal(gossip)
+}
+
 // welcome sends a message to an instance that was not known before.
 func (m *Mesh) welcome(newcomer *peerv1.Row, now time.Time) {
 	marks := m.listener.Marks(now)
 	m.mu.Lock()
 	m.listener.Fill(m.view.Self(), now)
-	gossip := m.view.Message(rowLimit, beatLimit, m.random)
-	gossip.Marks = marks
-	message, err := proto.Marshal(gossip)
+	message, err := m.message(marks)
 	target := m.resolve(newcomer.GetMesh())
 	m.mu.Unlock()
 	if err != nil {
--- a/internal/core/mtplacer/feasible.go
+++ b/internal/core/mtplacer/feasible.go
@@ -30,12 +30,13 @@
 // inTime returns the options that should answer a request before its deadline, in the same order.
 func (p *Placer) inTime(request *Request, options []option, now time.Time) []option {
 	left := request.Deadline.Sub(now)
-	if p.workOf(request).isDoubtful(now) {
+	isLate := func(o option) bool {
+		return p.cautious(o.expected, o.pace) > left
+	}
+	if !slices.ContainsFunc(options, isLate) || p.workOf(request).isDoubtful(now) {
 		return options
 	}
-	return slices.DeleteFunc(slices.Clone(options), func(o option) bool {
-		return p.cautious(o.expected, o.pace) > left
-	})
+	return slices.DeleteFunc(slices.Clone(options), isLate)
 }
 
 // canEnd reports whether an endpoint on a usual host that is otherwise idle could answer a request before its deadline.
--- a/internal/core/mtplacer/load_test.go
+++ b/internal/core/mtplacer/load_test.go
@@ -84,16 +84,22 @@
 	})
 }
 
+// newStoppingSite returns a pool whose endpoints stop work at the deadline, which is 2.5 times the objective.
+func newStoppingSite(seed uint64, work time.Duration) *site {
+	pool := newSite(17, 2, seed, false)
+	pool.work = work
+	pool.objective = 400 * time.Millisecond
+	pool.deadline = time.Second
+	pool.stops = true
+	return pool
+}
+
 // Hosts are slow for a quarter of the time, some 1.6 times as many requests come as the pool carries, and the time that a route
 // allows is 2.5 times its objective. A send that the estimate knows to fail holds a slot that another request needs.
 func TestNothingIsSentThatIsKnownToFail(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
-			pool := newSite(17, 2, seed, false)
-			pool.work = 160 * time.Millisecond
-			pool.objective = 400 * time.Millisecond
-			pool.deadline = time.Second
-			pool.stops = true
+			pool := newStoppingSite(seed, 160*time.Millisecond)
 			pool.retries = true
 			pool.arrive(0, 20*time.Second, 160)
 			pool.play()
@@ -110,11 +116,7 @@
 func TestEstimateThatWasTooHighIsCorrected(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
-			pool := newSite(17, 2, seed, false)
-			pool.work = 800 * time.Millisecond
-			pool.objective = 400 * time.Millisecond
-			pool.deadline = time.Second
-			pool.stops = true
+			pool := newStoppingSite(seed, 800*time.Millisecond)
 			pool.arrive(0, 10*time.Second, 20)
 			pool.at(5*time.Second, func() { pool.work = 160 * time.Millisecond })
 			pool.play()
--- a/internal/node/mtgateway/marks.go
+++ b/internal/node/mtgateway/marks.go
@@ -35,6 +35,8 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// An endpoint that leaves says so with each of its answers.
+	isNews := stated.Rest > 0 || !target.Draining
 	if stated.Leaving {
 		g.leaves(mtregistry.Mark{
 			ID:   target.ID,
@@ -57,7 +59,9 @@
 			"text":     shortened(stated.RestUnread),
 		})
 	}
-	g.pumpAll(now)
+	if isNews {
+		g.pumpAll(now)
+	}
 }
 
 // spreadRest lengthens a rest at random.
