--- a/internal/core/mtplacer/crowd.go
+++ b/internal/core/mtplacer/crowd.go
@@ -12,14 +12,11 @@
 	// crowded is the part of the slots that other instances take from which on an endpoint without fresh figures is not taken for
 	// free.
 	crowded = 0.4
-	// crowdPool is the largest pool for which this holds: on hundreds of endpoints the looks of those that wait cost the processor
-	// time that serves the others.
-	crowdPool = 48
 	// crowdLife is how long the last report of any endpoint proves that endpoints answer looks.
 	crowdLife = 100 * time.Millisecond
 )
 
 // isCrowded reports whether other instances take so much of the pool that requests should be sent on fresh figures only.
 func (p *Placer) isCrowded(now time.Time) bool {
-	return len(p.targets) <= crowdPool && p.crowd.value >= crowded && now.Sub(p.reported) < crowdLife
+	return p.crowd.value >= crowded && now.Sub(p.reported) < crowdLife
 }
