A refusal without an ID after a look no longer keeps the caller waiting

Change: such a refusal is skipped only on a connection that has carried one before, because a second copy needs a first.

Found besides: TestSecondCopyThatArrivesAroundTheReuse could wait for ever, because a write of its stand-in that fails left the channel open. The stand-in now closes it in every case; what the test asserts is unchanged.

--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -30,6 +30,8 @@
 	reader  *bufio.Reader
 	used    time.Time
 	expires time.Time
+	// isAmbiguous is set once a refusal without an ID was received: another one may be its second copy.
+	isAmbiguous bool
 }
 
 func newConn(socket net.Conn, address string) *conn {
@@ -201,9 +203,10 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		// On a used connection a refusal without an ID may be the second copy of an earlier one.
-		isUsed := !c.used.IsZero()
-		if stated.Attempt == order.Attempt || stated.Attempt == "" && stated.NotRun && !isUsed {
+		isBare := stated.Attempt == "" && stated.NotRun
+		isOurs := stated.Attempt == order.Attempt || isBare && !c.isAmbiguous
+		c.isAmbiguous = c.isAmbiguous || isBare
+		if isOurs {
 			return response, stated, nil
 		}
 		heads := c.source.left
--- a/internal/adapter/mtupstream/send_test.go
+++ b/internal/adapter/mtupstream/send_test.go
@@ -341,6 +341,25 @@
 	require.EqualValues(t, 1, e.conns.Load())
 }
 
+// An endpoint that does not echo the ID of what it refuses, such as one that took over an address, must not keep the caller waiting
+// because the connection has carried a look before.
+func TestRefusalWithoutAnIDAfterALookIsTaken(t *testing.T) {
+	e := newEndpoint(t, func(number int64, conn *net.TCPConn, _ *http.Request) bool {
+		if number == 1 {
+			return write(conn, "HTTP/1.1 200 OK\nContent-Length: 0\n\n")
+		}
+		return write(conn, "HTTP/1.1 503 Service Unavailable\nNotrun: 1\nContent-Length: 0\n\n")
+	})
+	pool := newTestPool()
+	_, err := pool.Look(t.Context(), e.address, "/", nil)
+	require.NoError(t, err)
+	reply, fate, err := send(t, pool, e.address, "2", false)
+	require.NoError(t, err)
+	require.Equal(t, Answered, fate)
+	require.True(t, reply.Stated.NotRun)
+	require.EqualValues(t, 1, e.conns.Load())
+}
+
 // On a new connection nothing else can be answered: an endpoint that refuses before it has read the ID has not run the request.
 func TestRefusalWithoutAnIDOnANewConnectionIsTaken(t *testing.T) {
 	e := newEndpoint(t, func(_ int64, conn *net.TCPConn, _ *http.Request) bool {
@@ -359,6 +378,8 @@
 		e := newEndpoint(t, func(number int64, conn *net.TCPConn, request *http.Request) bool {
 			id := request.Header.Get("Attempt")
 			if id == "1" {
+				// The caller closes the connection when it sees a part of the copy at once, so the writes may fail.
+				defer close(sent)
 				if !write(conn, answer("1", "one")) {
 					return false
 				}
@@ -367,7 +388,6 @@
 						return false
 					}
 				}
-				close(sent)
 				return true
 			}
 			if number == 2 {
