Answers of the directory are kept for as long as their receivers have been the same

Cause: after a restart of all, instances that have not met yet name themselves, and callers kept such an answer for 1.5 s.

Ruled out: slow reading of the store (14 ms from the role of a reader to the configuration in force).

Change: a decision of its own (mtsteer.Hold): 0.2 to 1.5 s, as long as the receivers named have been the same.

--- a/internal/node/mtgateway/steer.go
+++ b/internal/node/mtgateway/steer.go
@@ -20,8 +20,6 @@
 	steerPeriod = 250 * time.Millisecond
 	// chooseGap is the least time between two choices: in a restart of all, rows of some hundred instances come within 100 ms.
 	chooseGap = 20 * time.Millisecond
-	// holdTime is how long callers may keep an answer of the directory: short, so that they leave a lost instance soon.
-	holdTime = 1500 * time.Millisecond
 	// lookRateLeast is the number of requests a second below which an instance that callers are not sent to makes no looks:
 	// its few requests would open a connection for each look.
 	lookRateLeast = 5
@@ -30,6 +28,7 @@
 // steering is what the last choice came to.
 type steering struct {
 	crew []mtsteer.Candidate
+	hold mtsteer.Hold
 }
 
 // noticed makes the next choice come at once.
@@ -75,6 +74,9 @@
 		if left := g.chooseRoles(now); left > 0 {
 			pause = min(pause, left)
 		}
+		if g.looksAround(now) {
+			go g.lookAround(ctx, now)
+		}
 		g.expire(now)
 		due = time.Now().Add(pause)
 		timer.Reset(pause)
@@ -107,9 +109,14 @@
 	g.rankFeeds(place, heard)
 	inCrew := slices.ContainsFunc(crew, isSelf)
 	changed = g.inCrew.Swap(inCrew) != inCrew || changed
-	g.steering.Store(&steering{
+	next := &steering{
 		crew: crew,
-	})
+	}
+	if last := g.steering.Load(); last != nil {
+		next.hold = last.hold
+	}
+	next.hold.Named(crew, now)
+	g.steering.Store(next)
 	g.shareBudgets(inCrew, mtsteer.Fleet{
 		Receivers: len(crew),
 		Heard:     heard,
@@ -130,6 +137,13 @@
 	return left
 }
 
+// looksAround reports whether the store should be asked where the others are.
+func (g *Gateway) looksAround(now time.Time) bool {
+	g.choosing.Lock()
+	defer g.choosing.Unlock()
+	return g.opening.LooksAround(now)
+}
+
 func (g *Gateway) candidates(now time.Time) []mtsteer.Candidate {
 	var candidates []mtsteer.Candidate
 	for _, standing := range g.mesh.Standings(now) {
@@ -180,7 +194,7 @@
 	for _, member := range found.crew {
 		addresses = append(addresses, member.Calls)
 	}
-	return addresses, min(holdTime, g.settings().Hold)
+	return addresses, min(found.hold.Left(time.Now()), g.settings().Hold)
 }
 
 // shareBudgets sets this instance's share of the retry budget and of the looks at endpoints.
