--- a/internal/core/mtplacer/fleet_test.go
+++ b/internal/core/mtplacer/fleet_test.go
@@ -230,3 +230,39 @@
 	f.play()
 	return f
 }
+
+// Three instances start without any figures, and the callers of the time before come to them at once: a third of a second of three
+// times what the pool carries, then the usual load. What is lost to one instance that knows everything must stay below one request in fifty.
+func TestReturnOfAllCallersAfterAStart(t *testing.T) {
+	inStart := func(f *fleet) float64 { return f.share(0, 1500*time.Millisecond, isOnTime) }
+	one, many := 0.0, 0.0
+	const seeds = 8
+	for seed := uint64(1); seed <= seeds; seed++ {
+		o, m := start(1, seed), start(3, seed)
+		t.Logf("seed %d: on time %.3f, of one instance %.3f; mean wait at endpoints %v", seed, inStart(m), inStart(o),
+			m.queues/time.Duration(m.starts))
+		one += inStart(o) / seeds
+		many += inStart(m) / seeds
+	}
+	t.Logf("mean %.3f, of one instance %.3f", many, one)
+	require.Greater(t, many, one-0.02)
+}
+
+// start plays the return of all callers to a number of instances that have just started.
+func start(instances int, seed uint64) *fleet {
+	const (
+		endpoints = 16
+		slots     = 2
+		work      = 175 * time.Millisecond
+		meanPace  = 1 + siteNoiseRate*(siteNoise-1)
+	)
+	carried := endpoints * slots / work.Seconds() / meanPace
+	f := newFleet(instances, endpoints, slots, seed)
+	f.work = work
+	f.objective = 400 * time.Millisecond
+	f.deadline = 2 * time.Second
+	f.arrive(0, 300*time.Millisecond, 3*carried)
+	f.arrive(300*time.Millisecond, 2*time.Second, 0.6*carried)
+	f.play()
+	return f
+}
--- a/internal/core/mtplacer/placer.go
+++ b/internal/core/mtplacer/placer.go
@@ -108,8 +108,10 @@
 			weight: turnedWeight,
 		},
 		crowd: mean{
-			known:  true,
-			weight: crowdWeight,
+			value:   crowded,
+			known:   true,
+			guessed: true,
+			weight:  crowdWeight,
 		},
 		slowRatio: mean{
 			value:  1,
