Instances that start with nobody around read at once and find the others through the store

Cause: seeds may start 0.3 s after all others.

Ruled out: the time to read (14 ms) and to start (some 20 ms).

Change: a strong instance that hears nobody for 20 ms takes its role at once and looks once for the others in the record of the members, which exists for stale seeds. The record holds the 24 strongest. Weak ones wait as before, so that a start of hundreds does not read the store hundreds of times.

Figures: cases in mtopening failed first.

--- a/internal/core/mtopening/opening.go
+++ b/internal/core/mtopening/opening.go
@@ -1,7 +1,8 @@
 // Load pattern: all instances restart at once and their callers come back before they know the configuration and the endpoints.
 // One that takes itself for the only one reads the store, as would each of them; one that waits for the others longer than needed
-// refuses callers meanwhile. So an instance waits until no further ones turn up, within bounds. Those that are too weak to serve
-// many callers wait for longer: of 311 instances whose seeds started last, 308 read the store for themselves, with 2,500 calls.
+// refuses callers meanwhile. So an instance waits until no further ones turn up, within bounds. One that hears nobody is among the
+// first to start, and callers wait for it. Those that are too weak to serve many callers wait for longer: of 311 instances whose
+// seeds started last, 308 read the store for themselves, with 2,500 calls.
 
 package mtopening
 
@@ -10,8 +11,10 @@
 const (
 	// meetLeast is the shortest wait: a few exchanges of first heartbeats, which take 10 to 30 ms on a busy host.
 	meetLeast = 60 * time.Millisecond
-	// meetMost is the longest wait, for an instance that hears nobody or to whom others turn up all the time.
+	// meetMost is the longest wait, for an instance to which others turn up all the time.
 	meetMost = 150 * time.Millisecond
+	// meetAlone is the longest wait of an instance that hears nobody: some five times the way to a seed and back.
+	meetAlone = 20 * time.Millisecond
 	// meetWeak is the longest wait of a weak instance: the instances that all know may start 300 ms after it, and a strong one will
 	// have read the store for it by then.
 	meetWeak = 600 * time.Millisecond
@@ -29,9 +32,10 @@
 	// Capacity is the part of a processor that the instance has.
 	Capacity float64
 
-	known int
-	grown time.Time
-	over  bool
+	known  int
+	grown  time.Time
+	over   bool
+	looked bool
 }
 
 // Heard records how many other instances are known.
@@ -48,8 +52,11 @@
 		return 0
 	}
 	end := o.Started.Add(meetMost)
-	if o.Capacity < weakCapacity {
+	switch {
+	case o.isWeak():
 		end = o.Started.Add(meetWeak)
+	case o.known == 0:
+		end = o.Started.Add(meetAlone)
 	}
 	if o.known > 0 {
 		end = earliest(end, latest(o.Started.Add(meetLeast), o.grown.Add(meetQuiet)))
@@ -59,6 +66,20 @@
 	return left
 }
 
+// LooksAround reports once whether an instance should look in the store for where the others are: its seeds have not answered, and
+// callers will soon be sent to it.
+func (o *Opening) LooksAround(now time.Time) bool {
+	if o.looked || o.isWeak() || o.known > 0 || now.Sub(o.Started) < meetAlone {
+		return false
+	}
+	o.looked = true
+	return true
+}
+
+func (o *Opening) isWeak() bool {
+	return o.Capacity < weakCapacity
+}
+
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/core/mtopening/opening_test.go
+++ b/internal/core/mtopening/opening_test.go
@@ -81,7 +81,11 @@
 			wait:   80 * time.Millisecond,
 		},
 		"nobody": {
-			wait: meetMost,
+			wait: meetAlone,
+		},
+		"a restart of 15 over 400 ms, whose seeds start last": {
+			others: every(28*time.Millisecond, 400*time.Millisecond),
+			wait:   meetAlone,
 		},
 		"one that joins a fleet": {
 			others: every(time.Millisecond, 10*time.Millisecond),
@@ -98,6 +102,22 @@
 	}
 }
 
+func TestStrongInstanceThatHearsNobodyLooksForTheOthers(t *testing.T) {
+	opening := Opening{
+		Started:  time.Unix(1000, 0),
+		Capacity: strong,
+	}
+	now := opening.Started.Add(meetAlone)
+	require.False(t, opening.LooksAround(now.Add(-1)))
+	weakOne, met := opening, opening
+	require.True(t, opening.LooksAround(now))
+	require.False(t, opening.LooksAround(now), "once is enough")
+	weakOne.Capacity = weak
+	require.False(t, weakOne.LooksAround(now))
+	met.Heard(1, now)
+	require.False(t, met.LooksAround(now))
+}
+
 func TestInstanceThatHasMetTheOthersDoesNotWaitForMore(t *testing.T) {
 	opening := Opening{
 		Started: time.Unix(1000, 0),
