In a crowded pool only the first eight requests in turn have endpoints asked

Cause: each of up to some fifty waiting requests weighed 24 endpoints and asked two, so that the looks that an endpoint may get were spent on behalf of requests whose turn came last, and the weighing took processor time of receivers that lack it.

Change: in a crowded pool endpoints are weighed for eight waiting requests at a time.

--- a/internal/core/mtplacer/crowd.go
+++ b/internal/core/mtplacer/crowd.go
@@ -18,6 +18,9 @@
 	crowded = 0.4
 	// ownLeast is the least part of the slots that becomes free for this instance.
 	ownLeast = 0.05
+	// weighedMost is the number of waiting requests for which endpoints of a crowded pool are weighed and asked at a time: the looks
+	// at an endpoint are few, and those of the first in turn must not wait for those of the last.
+	weighedMost = 8
 	// crowdLife is how long the last report of any endpoint proves that endpoints answer looks.
 	crowdLife = 100 * time.Millisecond
 )
--- a/internal/core/mtplacer/crowd_test.go
+++ b/internal/core/mtplacer/crowd_test.go
@@ -1,6 +1,7 @@
 package mtplacer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,32 @@
 	}
 	require.False(t, placer.isCrowded(t0))
 }
+
+// Many requests wait for a full pool. Only the first in turn have endpoints asked on their behalf.
+func TestOnlyTheFirstInTurnLookInACrowdedPool(t *testing.T) {
+	var targets []*Target
+	for i := range 60 {
+		targets = append(targets, newTarget(fmt.Sprintf("e%02d", i), 2))
+	}
+	placer := newTestPlacer(targets...)
+	for id := range uint64(40) {
+		request := newRequest(id+1, t0)
+		request.Objective, request.Deadline = t0.Add(2*time.Second), t0.Add(4*time.Second)
+		require.Nil(t, placer.Offer(request, t0))
+	}
+	full := Report{
+		Running: 2,
+		Slots:   2,
+		Pace:    1,
+	}
+	for _, target := range targets {
+		placer.Observe(target, full, t0)
+	}
+	// By now the figures of all others are old, and they may have room.
+	now := t0.Add(400 * time.Millisecond)
+	placer.Observe(targets[0], full, now)
+	require.True(t, placer.isCrowded(now))
+	looks := len(placer.Bind(now).Looks)
+	require.Positive(t, looks)
+	require.LessOrEqual(t, looks, 16, "two for each of eight requests")
+}
--- a/internal/core/mtplacer/placer.go
+++ b/internal/core/mtplacer/placer.go
@@ -128,6 +128,10 @@
 		random: random,
 		looks:  looksDefault,
 	}
+	for _, option := range options {
+		option(placer)
+	}
+	return placer
 }
 
 // looksDefault is the budget of looks at one endpoint a second until another is set.
