--- a/internal/core/mtplacer/admit.go
+++ b/internal/core/mtplacer/admit.go
@@ -250,6 +250,12 @@
 	}
 	clear(p.queue[len(rest):])
 	p.queue = rest
+	return append(drops, p.admitLate(late, now)...)
+}
+
+// admitLate puts requests that have become late back into the queue, or gives them up.
+func (p *Placer) admitLate(late []*Request, now time.Time) []Drop {
+	var drops []Drop
 	for _, request := range late {
 		request.late = true
 		p.turned.add(1)
--- a/internal/core/mtplacer/fleet_test.go
+++ b/internal/core/mtplacer/fleet_test.go
@@ -236,20 +236,27 @@
 	return f
 }
 
-// Three instances start without any figures, and the callers of the time before come to them at once: a third of a second of three
-// times what the pool carries, then the usual load. What is lost to one instance that knows everything must stay below one request in fifty.
-func TestReturnOfAllCallersAfterAStart(t *testing.T) {
-	inStart := func(f *fleet) float64 { return f.share(0, 1500*time.Millisecond, isOnTime) }
-	one, many := 0.0, 0.0
-	const seeds = 8
+// onTime plays a load on one instance, which knows everything, and on several, and returns the mean shares on time of the callers that
+// came in a span.
+func onTime(t *testing.T, seeds uint64, instances int, from, to time.Duration, play func(instances int, seed uint64) *fleet) (one, many float64) {
+	t.Helper()
 	for seed := uint64(1); seed <= seeds; seed++ {
-		o, m := start(1, seed), start(3, seed)
-		t.Logf("seed %d: on time %.3f, of one instance %.3f; mean wait at endpoints %v", seed, inStart(m), inStart(o),
-			m.queues/time.Duration(m.starts))
-		one += inStart(o) / seeds
-		many += inStart(m) / seeds
+		o, m := play(1, seed), play(instances, seed)
+		ofOne, ofMany := o.share(from, to, isOnTime), m.share(from, to, isOnTime)
+		t.Logf("seed %d: on time %.3f, of one instance %.3f; mean wait at instances %v, at endpoints %v", seed, ofMany, ofOne,
+			m.waits/time.Duration(m.starts), m.queues/time.Duration(m.starts))
+		one += ofOne / float64(seeds)
+		many += ofMany / float64(seeds)
 	}
 	t.Logf("mean %.3f, of one instance %.3f", many, one)
+	return one, many
+}
+
+// Three instances start without any figures, and the callers of the time before come to them at once: a third of a second of three
+// times what the pool carries, then the usual load. What is lost to one instance that knows everything must stay below one request
+// in fifty.
+func TestReturnOfAllCallersAfterAStart(t *testing.T) {
+	one, many := onTime(t, 8, 3, 0, 1500*time.Millisecond, start)
 	require.Greater(t, many, one-0.02)
 }
 
@@ -272,25 +279,16 @@
 	return f
 }
 
-// Eight instances share a pool, callers wait for 13 times their objective, and for two seconds there come four times as many as the
-// pool carries with all slots taken, on hosts of mean speed, and 1.2 times as many afterwards: slow hosts can be avoided. Requests that are admitted because endpoints count as free that others have filled wait in vain, and come back. In the
-// two seconds after the burst, what is lost to one instance that knows everything must stay below a tenth.
+// Eight instances share a pool whose callers wait for 13 times their objective. For two seconds four times as many requests come as the
+// pool carries on average hosts with all slots taken, and 1.2 times as many afterwards, which it carries by its faster hosts. Requests
+// that are admitted to slots that others have filled wait in vain, and come back. In the two seconds after the burst, what is lost to
+// one instance that knows everything must stay below a tenth.
 func TestManyInstancesRecoverFromABurst(t *testing.T) {
-	const seeds = 2
-	afterwards := func(f *fleet) float64 { return f.share(3*time.Second, 5*time.Second, isOnTime) }
-	one, many := 0.0, 0.0
-	for seed := uint64(1); seed <= seeds; seed++ {
-		o, m := longBurst(1, seed), longBurst(8, seed)
-		t.Logf("seed %d: on time %.3f in the burst and %.3f after it, of one instance %.3f and %.3f; mean wait at instances %v", seed,
-			m.share(time.Second, 3*time.Second, isOnTime), afterwards(m), o.share(time.Second, 3*time.Second, isOnTime), afterwards(o),
-			m.waits/time.Duration(m.starts))
-		one += afterwards(o) / seeds
-		many += afterwards(m) / seeds
-	}
-	t.Logf("mean %.3f, of one instance %.3f", many, one)
+	one, many := onTime(t, 2, 8, 3*time.Second, 5*time.Second, longBurst)
 	require.Greater(t, many, one-0.1)
 }
 
+// longBurst plays a burst and the time after it on a number of instances.
 func longBurst(instances int, seed uint64) *fleet {
 	const (
 		endpoints = 40
--- a/internal/node/mtgateway/steer.go
+++ b/internal/node/mtgateway/steer.go
@@ -25,7 +25,7 @@
 	lookRateLeast = 5
 )
 
-// steering is what the last choice came to.
+// steering is what the last choice came to: the receivers, and for how long callers may keep the answer that names them.
 type steering struct {
 	crew []mtsteer.Candidate
 	hold mtsteer.Hold
@@ -109,14 +109,7 @@
 	g.rankFeeds(place, heard)
 	inCrew := slices.ContainsFunc(crew, isSelf)
 	changed = g.inCrew.Swap(inCrew) != inCrew || changed
-	next := &steering{
-		crew: crew,
-	}
-	if last := g.steering.Load(); last != nil {
-		next.hold = last.hold
-	}
-	next.hold.Named(crew, now)
-	g.steering.Store(next)
+	g.nameReceivers(crew, now)
 	g.shareBudgets(inCrew, mtsteer.Fleet{
 		Receivers: len(crew),
 		Heard:     heard,
@@ -137,6 +130,18 @@
 	return left
 }
 
+// nameReceivers puts the instances that callers are sent to into the answers.
+func (g *Gateway) nameReceivers(crew []mtsteer.Candidate, now time.Time) {
+	next := &steering{
+		crew: crew,
+	}
+	if last := g.steering.Load(); last != nil {
+		next.hold = last.hold
+	}
+	next.hold.Named(crew, now)
+	g.steering.Store(next)
+}
+
 // looksAround reports whether the store should be asked where the others are.
 func (g *Gateway) looksAround(now time.Time) bool {
 	g.choosing.Lock()
