--- a/internal/core/mtopening/opening_test.go
+++ b/internal/core/mtopening/opening_test.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// Callers that an instance refuses while it waits come back after 100 ms at the earliest, and must find it able to serve.
+func TestStrongInstanceThatHearsNobodyTakesItsRoleBeforeCallersComeBack(t *testing.T) {
+	require.Less(t, meet(strong), 100*time.Millisecond)
+	require.Less(t, meet(strong, 300*time.Millisecond), 100*time.Millisecond, "the seeds start last")
+}
+
 func TestStrongInstanceThatHearsNobodyLooksForTheOthers(t *testing.T) {
 	opening := Opening{
 		Started:  time.Unix(1000, 0),
