--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -121,6 +121,21 @@
 		Level:  logrus.WarnLevel,
 		Text:   "record can't be decoded; it is ignored and the known state stays in use",
 	}
+	StoreRestored = Event{
+		Number: 224,
+		Level:  logrus.WarnLevel,
+		Text:   "platform store was restored from a copy; the newest records are read, and what is in force stays so until they are newer",
+	}
+	StoreAnswerOutdated = Event{
+		Number: 225,
+		Level:  logrus.WarnLevel,
+		Text:   "platform store answered from before it was restored from a copy; the answer is ignored",
+	}
+	ConfigurationConflict = Event{
+		Number: 231,
+		Level:  logrus.WarnLevel,
+		Text:   "restored platform store has another configuration under the version in force; it replaces the one in force",
+	}
 	ConfigurationApplied = Event{
 		Number: 230,
 		Level:  logrus.InfoLevel,
@@ -259,7 +274,10 @@
 	StoreReadable,
 	StoreRecordsMissing,
 	RecordUndecodable,
+	StoreRestored,
+	StoreAnswerOutdated,
 	ConfigurationApplied,
+	ConfigurationConflict,
 	EndpointAdmitted,
 	EndpointDraining,
 	EndpointRemoved,
--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -5,6 +5,13 @@
 //	removed, store reachable                  -> gone at once
 //	removed, store interrupted until recently -> lapsed -- registered again --> present
 //	                                                    \- still missing after reregisterTimeout --> gone
+//
+// A store that is restored from a copy begins a new era. The copy may list endpoints that have left since, and older
+// entries of those that have not. Endpoints count their entries, so an entry of the copy is recognized as old:
+//
+//	missing in the copy                                 -> lapsed, as above
+//	listed with an older count than the entry in use    -> the entry in use stays
+//	listed with no later count than when it was removed -> marked as leaving; a later count brings it back
 
 package mtregistry
 
@@ -23,8 +30,10 @@
 // Entry is the registration of an endpoint in the store.
 type Entry struct {
 	// ID identifies the endpoint, and Born distinguishes processes with the same ID.
-	ID      string
-	Born    int64
+	ID   string
+	Born int64
+	// Seq counts the entries that the process has written.
+	Seq     int64
 	Service string
 	Address string
 	Centre  string
@@ -39,23 +48,57 @@
 // lapsed may appear in the store again.
 const leaveMarkTTL = 10 * time.Minute
 
-// LeaveMark identifies a process of an endpoint that has announced that it leaves.
+// LeaveMark identifies a process of an endpoint that has announced that it leaves, or that had left before the store
+// was restored from a copy that lists it.
 type LeaveMark struct {
 	ID   string
 	Born int64
+	// ThroughSeq is the count of the last entry that the mark applies to, or 0 if it applies to all entries of the
+	// process.
+	ThroughSeq int64
+}
+
+// process identifies a process of an endpoint.
+type process struct {
+	id   string
+	born int64
+}
+
+// leaveMark is the state of a LeaveMark.
+type leaveMark struct {
+	throughSeq int64
+	// lastSeen is when the mark was set, or when the process last had an entry.
+	lastSeen time.Time
+}
+
+// appliesTo reports whether the mark applies to an entry of the process.
+func (m leaveMark) appliesTo(entry Entry) bool {
+	return m.throughSeq == 0 || entry.Seq <= m.throughSeq
+}
+
+// removal records that the entry of a process was removed.
+type removal struct {
+	lastSeq int64
+	era     uint64
+	at      time.Time
 }
 
 // Registry holds the entries of all endpoints by ID. It is not safe for concurrent use.
 type Registry struct {
-	entries map[string]*registration
-	// leaveMarks maps each mark to the time at which it was set, or at which its entry was last present.
-	leaveMarks map[LeaveMark]time.Time
+	entries    map[string]*registration
+	leaveMarks map[process]leaveMark
+	// removals contains the processes whose entries were removed.
+	removals map[process]removal
+	// era is the era of the store that entries are put and removed in.
+	era uint64
 	// unsteadyUntil is the end of the time in which a removed entry is treated as lapsed.
 	unsteadyUntil time.Time
 }
 
 type registration struct {
 	entry Entry
+	// era is the era of the store in which the entry was read.
+	era uint64
 	// warmAt is when the warm-up of the endpoint ends.
 	warmAt time.Time
 	// isStoredDraining is set when the entry in the store says that the endpoint drains.
@@ -68,7 +111,20 @@
 func NewRegistry() *Registry {
 	return &Registry{
 		entries:    map[string]*registration{},
-		leaveMarks: map[LeaveMark]time.Time{},
+		leaveMarks: map[process]leaveMark{},
+		removals:   map[process]removal{},
+	}
+}
+
+// BeginEra sets the era that the following calls of Put and Remove belong to. When it is later than that of the known
+// entries, endpoints may register again as after an interruption.
+func (r *Registry) BeginEra(era uint64, now time.Time) {
+	if era <= r.era {
+		return
+	}
+	r.era = era
+	if len(r.entries) > 0 {
+		r.StoreInterrupted(now)
 	}
 }
 
@@ -78,22 +134,76 @@
 }
 
 // Put adds an entry or replaces the one with its ID. The endpoint drains if the entry says so or if it is marked as
-// leaving.
+// leaving. An entry of a new era that is older than the entry in use doesn't replace it.
 func (r *Registry) Put(entry Entry, now time.Time) {
 	found := r.entries[entry.ID]
 	if found == nil {
 		found = &registration{}
 		r.entries[entry.ID] = found
+		r.applyRemoval(entry, now)
+	} else if found.era < r.era && isOlder(entry, found.entry) {
+		r.keepNewer(found, entry, now)
+		return
+	} else if found.entry.Born != entry.Born {
+		r.recordRemoval(found.entry, found.era, now)
 	}
 	found.entry = entry
+	found.era = r.era
 	found.isStoredDraining = entry.Draining
-	if mark := markOf(entry); !r.leaveMarks[mark].IsZero() {
-		found.entry.Draining = true
-	}
+	found.entry.Draining = entry.Draining || r.isMarked(entry)
 	found.warmAt = now.Add(entry.WarmUp)
 	found.lapsedAt = time.Time{}
 }
 
+// isOlder reports whether an entry was written before another entry of the same endpoint. A process that drains does not
+// become ready again.
+func isOlder(entry, other Entry) bool {
+	order := cmp.Or(cmp.Compare(entry.Born, other.Born), cmp.Compare(entry.Seq, other.Seq))
+	return order < 0 || order == 0 && other.Draining && !entry.Draining
+}
+
+// keepNewer handles an older entry that the store lists after it was restored. The entry in use stays; if it is of a
+// later process, the store does not list that one, and it lapses unless it registers again.
+func (r *Registry) keepNewer(found *registration, older Entry, now time.Time) {
+	if older.Born != found.entry.Born {
+		r.recordRemoval(older, found.era, now)
+		r.Remove(older.ID, now)
+		return
+	}
+	found.lapsedAt = time.Time{}
+	found.isStoredDraining = older.Draining
+	if found.entry.Draining {
+		r.MarkLeaving(LeaveMark{
+			ID:         found.entry.ID,
+			Born:       found.entry.Born,
+			ThroughSeq: found.entry.Seq,
+		}, now)
+	}
+}
+
+// applyRemoval marks a process as leaving if its entry was removed in an earlier era and this entry is not newer.
+func (r *Registry) applyRemoval(entry Entry, now time.Time) {
+	key := processOf(entry)
+	removed, wasRemoved := r.removals[key]
+	if !wasRemoved {
+		return
+	}
+	delete(r.removals, key)
+	if removed.era < r.era && entry.Seq <= removed.lastSeq {
+		r.MarkLeaving(LeaveMark{
+			ID:         entry.ID,
+			Born:       entry.Born,
+			ThroughSeq: removed.lastSeq,
+		}, now)
+	}
+}
+
+// isMarked reports whether a mark applies to an entry.
+func (r *Registry) isMarked(entry Entry) bool {
+	mark, found := r.leaveMarks[processOf(entry)]
+	return found && mark.appliesTo(entry)
+}
+
 // Remove removes an entry and reports whether it did. During and right after an interruption of the store, an entry
 // that does not drain becomes lapsed instead.
 func (r *Registry) Remove(id string, now time.Time) bool {
@@ -107,10 +217,24 @@
 		}
 		return false
 	}
-	delete(r.entries, id)
+	r.delete(found, now)
 	return true
 }
 
+// delete deletes an entry and records its removal.
+func (r *Registry) delete(found *registration, now time.Time) {
+	delete(r.entries, found.entry.ID)
+	r.recordRemoval(found.entry, r.era, now)
+}
+
+func (r *Registry) recordRemoval(entry Entry, era uint64, now time.Time) {
+	r.removals[processOf(entry)] = removal{
+		lastSeq: entry.Seq,
+		era:     era,
+		at:      now,
+	}
+}
+
 // RetainOnly calls Remove for all entries but those with one of the IDs.
 func (r *Registry) RetainOnly(ids map[string]bool, now time.Time) {
 	for id := range r.entries {
@@ -120,33 +244,51 @@
 	}
 }
 
-// markOf returns the mark that the process of an entry has if it is leaving.
-func markOf(entry Entry) LeaveMark {
-	return LeaveMark{
-		ID:   entry.ID,
-		Born: entry.Born,
+func processOf(entry Entry) process {
+	return process{
+		id:   entry.ID,
+		born: entry.Born,
 	}
 }
 
 // MarkLeaving marks the process of an endpoint as leaving, and reports whether it was not marked before. The process stays
-// marked whatever its entry says later.
+// marked whatever its entry says later, except by an entry that the mark does not apply to.
 func (r *Registry) MarkLeaving(mark LeaveMark, now time.Time) bool {
-	if !r.leaveMarks[mark].IsZero() {
+	key := process{
+		id:   mark.ID,
+		born: mark.Born,
+	}
+	known, isKnown := r.leaveMarks[key]
+	if isKnown && (known.throughSeq == 0 || mark.ThroughSeq != 0 && mark.ThroughSeq <= known.throughSeq) {
 		return false
 	}
-	r.leaveMarks[mark] = now
-	if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark {
+	r.leaveMarks[key] = leaveMark{
+		throughSeq: mark.ThroughSeq,
+		lastSeen:   now,
+	}
+	if found := r.entries[mark.ID]; found != nil && processOf(found.entry) == key && r.isMarked(found.entry) {
 		found.entry.Draining = true
 	}
 	return true
 }
 
+// IsLeaving reports whether the registry holds an entry of a process that drains.
+func (r *Registry) IsLeaving(id string, born int64) bool {
+	found := r.entries[id]
+	return found != nil && found.entry.Born == born && found.entry.Draining
+}
+
 // UnpublishedLeaveMarks returns the marks of leaving processes whose entries in the store don't say that they drain, sorted by ID.
 func (r *Registry) UnpublishedLeaveMarks() []LeaveMark {
 	var marks []LeaveMark
-	for mark := range r.leaveMarks {
-		if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark && !found.isStoredDraining {
-			marks = append(marks, mark)
+	for key, mark := range r.leaveMarks {
+		found := r.entries[key.id]
+		if found != nil && processOf(found.entry) == key && !found.isStoredDraining && mark.appliesTo(found.entry) {
+			marks = append(marks, LeaveMark{
+				ID:         key.id,
+				Born:       key.born,
+				ThroughSeq: mark.throughSeq,
+			})
 		}
 	}
 	slices.SortFunc(marks, func(a, b LeaveMark) int {
@@ -155,13 +297,20 @@
 	return marks
 }
 
-// ForgetExpiredLeaveMarks removes the marks of processes that have had no entry for longer than leaveMarkTTL.
+// ForgetExpiredLeaveMarks removes the marks and the removals of processes that have had no entry for longer than
+// leaveMarkTTL.
 func (r *Registry) ForgetExpiredLeaveMarks(now time.Time) {
-	for mark, lastSeen := range r.leaveMarks {
-		if found := r.entries[mark.ID]; found != nil && markOf(found.entry) == mark {
-			r.leaveMarks[mark] = now
-		} else if now.Sub(lastSeen) > leaveMarkTTL {
-			delete(r.leaveMarks, mark)
+	for key, mark := range r.leaveMarks {
+		if found := r.entries[key.id]; found != nil && processOf(found.entry) == key {
+			mark.lastSeen = now
+			r.leaveMarks[key] = mark
+		} else if now.Sub(mark.lastSeen) > leaveMarkTTL {
+			delete(r.leaveMarks, key)
+		}
+	}
+	for key, removed := range r.removals {
+		if now.Sub(removed.at) > leaveMarkTTL {
+			delete(r.removals, key)
 		}
 	}
 }
@@ -171,7 +320,7 @@
 	var expired []string
 	for id, found := range r.entries {
 		if !found.lapsedAt.IsZero() && now.After(r.unsteadyUntil) && now.Sub(found.lapsedAt) > reregisterTimeout {
-			delete(r.entries, id)
+			r.delete(found, now)
 			expired = append(expired, id)
 		}
 	}
--- a/internal/core/mtreplication/feed.go
+++ b/internal/core/mtreplication/feed.go
@@ -27,7 +27,8 @@
 	}
 }
 
-// ErrNotRetained is the error of a read from an offset whose records the store no longer retains.
+// ErrNotRetained is the error of a read from an offset that the store does not have: its records are no longer retained,
+// or the offset is of an earlier era. The batch that is returned with it has the era of the store.
 var ErrNotRetained = errors.New("the records at the offset are no longer retained")
 
 // Change is the newest record of one key.
@@ -36,14 +37,26 @@
 	Value []byte
 	// Deleted is set when the key was deleted.
 	Deleted bool
+	// Lost is set for a record in force that the store may have lost, and Era is the era in which it was read.
+	Lost bool
+	Era  uint64
 }
 
-// Batch is the changes of a feed between two offsets.
+// Batch is the changes of a feed between two offsets of one era.
 type Batch struct {
 	Feed    Feed
+	Era     uint64
 	From    uint64
 	To      uint64
 	Changes []Change
 	// Snapshot is set when the changes are a snapshot, which replaces the previous state of the feed.
 	Snapshot bool
 }
+
+// End returns the position that is reached by the batch.
+func (b Batch) End() Position {
+	return Position{
+		Era:    b.Era,
+		Offset: b.To,
+	}
+}
--- a/internal/core/mtreplication/follower.go
+++ b/internal/core/mtreplication/follower.go
@@ -8,6 +8,11 @@
 //
 // The age of the data is counted on the instance's monotonic clock. A message of a peer carries an age, not a time of
 // day.
+//
+// The store may return from an outage with a copy that is some seconds old, and begin a new era. Offsets of the old era
+// say nothing about the new one, so an instance that sees the new era reads the newest records, and a listener gets
+// them from the reader. Until then the state of the old era stays in use. Responses of an older era are ignored: they
+// come late.
 
 package mtreplication
 
@@ -38,6 +43,8 @@
 	maxStartupJitter = 80 * time.Millisecond
 	// listenerStartupWait is added for a listener, because another instance reads for all.
 	listenerStartupWait = 600 * time.Millisecond
+	// newEraRelayWait is how long a listener that sees a new era waits for the newest records from a peer.
+	newEraRelayWait = 400 * time.Millisecond
 	// The bounds of the exponential backoff after failed reads.
 	minReaderBackoff   = 300 * time.Millisecond
 	minListenerBackoff = time.Second
@@ -84,19 +91,24 @@
 	Sleep Action = iota
 	// ReadNewest reads the newest record of each key.
 	ReadNewest
-	// ReadFromOffset reads from the current offset.
+	// ReadFromOffset reads from the offset of the current position.
 	ReadFromOffset
 )
 
-// Follower tracks the offset of one instance in one feed and schedules its reads of the store.
+// Follower tracks the position of one instance in one feed and schedules its reads of the store.
 type Follower struct {
-	started time.Time
-	offset  uint64
-	// hasOffset is set once the feed was read, or received from a peer.
-	hasOffset bool
-	// confirmedAt is the latest time at which offset was known to be the end of the feed.
+	started  time.Time
+	position Position
+	// hasPosition is set once the feed was read, or received from a peer.
+	hasPosition bool
+	// latestEra is the latest era that a response of the store had.
+	latestEra uint64
+	// needsNewest is set while the feed can't be read from the position: the store does not have its offset, or is in a
+	// later era.
+	needsNewest bool
+	// confirmedAt is the latest time at which position was known to be the end of the feed.
 	confirmedAt time.Time
-	// peerConfirmedAt is the latest time at which a peer knew offset to be the end of the feed.
+	// peerConfirmedAt is the latest time at which a peer knew position to be the end of the feed.
 	peerConfirmedAt time.Time
 	// nextRead is the time before which no read is made.
 	nextRead time.Time
@@ -134,7 +146,7 @@
 
 // Next returns what to do now; wait is how long to sleep, or how long the store may delay the answer to the read.
 func (f *Follower) Next(role Role, now time.Time) (action Action, wait time.Duration) {
-	if !f.hasOffset {
+	if !f.hasPosition {
 		startupEnd := f.started.Add(startupWait + f.startupJitter)
 		if role == Listener {
 			startupEnd = startupEnd.Add(listenerStartupWait)
@@ -146,7 +158,7 @@
 	if now.Before(f.nextRead) {
 		return Sleep, min(maxSleep, f.nextRead.Sub(now))
 	}
-	if !f.hasOffset {
+	if !f.hasPosition || f.needsNewest {
 		return ReadNewest, 0
 	}
 	due, longPoll := f.readDue(role)
@@ -168,15 +180,55 @@
 	}
 }
 
-// ReadSucceeded records a successful read up to an offset; sent is when it was sent, and count the number of its changes.
-func (f *Follower) ReadSucceeded(offset uint64, count int, sent, now time.Time) {
+// EraOrder is how the era of a response relates to the latest one known.
+type EraOrder int
+
+// The orders.
+const (
+	// SameEra means that the response can be used.
+	SameEra EraOrder = iota
+	// NewEra means that the store was restored from a copy; a snapshot can be used, and changes can't.
+	NewEra
+	// OldEra means that the response must be ignored.
+	OldEra
+)
+
+// ObserveEra records the era of a response of the store before its content is used.
+func (f *Follower) ObserveEra(era uint64, role Role, now time.Time) EraOrder {
+	if !f.hasPosition {
+		f.latestEra = max(f.latestEra, era)
+	}
+	switch {
+	case era < f.latestEra:
+		return OldEra
+	case era == f.latestEra:
+		return SameEra
+	}
+	f.latestEra = era
+	f.needsNewest = true
+	f.failures = 0
+	f.backoff = 0
+	f.nextRead = now
+	if role == Listener && f.reachable > 1 {
+		f.nextRead = now.Add(newEraRelayWait + f.listenerReadDelay() - listenerReadAge)
+	}
+	return NewEra
+}
+
+// ReadSucceeded records a successful read, sent at the time sent, whose era was observed.
+func (f *Follower) ReadSucceeded(batch Batch, sent, now time.Time) {
 	f.failures = 0
 	f.backoff = 0
-	f.advanceTo(offset)
+	if f.leavesGap(batch) {
+		// A peer's snapshot of a new era has set the position back while the read was in flight.
+		f.nextRead = now
+		return
+	}
+	f.advance(batch)
 	// The offset was the end of the feed at some time after the request was sent; the store delays the answer to a read
 	// without records until just before now.
 	f.confirm(sent)
-	if count > 0 {
+	if len(batch.Changes) > 0 {
 		f.nextRead = now.Add(readPause)
 	} else {
 		f.confirm(now.Add(-readPause))
@@ -197,9 +249,9 @@
 	f.nextRead = now.Add(f.backoff/2 + time.Duration(f.random.Int64N(int64(f.backoff))))
 }
 
-// RequireNewest records that the store no longer retains the records at the offset, so that Next asks for the newest.
+// RequireNewest records that the store does not have the records at the position, so that Next asks for the newest.
 func (f *Follower) RequireNewest() {
-	f.hasOffset = false
+	f.needsNewest = true
 }
 
 // IsStoreUnreachable reports whether the last reads of the store failed, so that it counts as unreachable.
@@ -212,34 +264,42 @@
 	return f.failures
 }
 
-// ObservePeerOffset records that a peer knew an offset to be the end of the feed at the given age, and reports whether the peer is
-// ahead of this instance.
-func (f *Follower) ObservePeerOffset(offset uint64, age time.Duration, now time.Time) bool {
-	if !f.hasOffset || offset > f.offset {
+// ObservePeerPosition records that a peer knew a position to be the end of the feed at the given age, and reports
+// whether the peer is ahead of this instance.
+func (f *Follower) ObservePeerPosition(position Position, age time.Duration, now time.Time) bool {
+	if !f.hasPosition || position.Compare(f.position) > 0 {
 		return true
 	}
-	if offset == f.offset {
+	if position == f.position {
 		f.confirmFromPeer(now.Add(-age))
 	}
 	return false
 }
 
-// Accepts reports whether a batch can be applied: the first snapshot or a newer one, or newer changes that leave no gap
-// after the current offset.
+// Accepts reports whether a batch can be applied: the first snapshot, a newer one or one that the follower needs, or
+// newer changes that leave no gap after the current position.
 func (f *Follower) Accepts(batch Batch) bool {
+	if batch.Era < f.latestEra {
+		return false
+	}
 	if batch.Snapshot {
-		return !f.hasOffset || batch.To > f.offset
+		return !f.hasPosition || f.needsNewest || batch.End().Compare(f.position) > 0
 	}
-	return f.hasOffset && batch.From <= f.offset && batch.To > f.offset
+	return f.hasPosition && !f.leavesGap(batch) && batch.To > f.position.Offset
+}
+
+// leavesGap reports whether records between the current position and the changes of a batch are unknown.
+func (f *Follower) leavesGap(batch Batch) bool {
+	return f.hasPosition && !batch.Snapshot && (batch.Era != f.position.Era || batch.From > f.position.Offset)
 }
 
 // BatchApplied records that a batch of a peer was applied.
 func (f *Follower) BatchApplied(batch Batch, age time.Duration, now time.Time) {
-	f.advanceTo(batch.To)
+	f.advance(batch)
 	f.confirmFromPeer(now.Add(-age))
 }
 
-// confirmFromPeer records a time at which a peer knew the offset to be the end of the feed.
+// confirmFromPeer records a time at which a peer knew the position to be the end of the feed.
 func (f *Follower) confirmFromPeer(moment time.Time) {
 	f.confirm(moment)
 	if moment.After(f.peerConfirmedAt) {
@@ -247,27 +307,30 @@
 	}
 }
 
-// advanceTo sets the offset, which never moves back while hasOffset is set.
-func (f *Follower) advanceTo(offset uint64) {
-	if !f.hasOffset || offset > f.offset {
-		f.offset = offset
+// advance sets the position to the end of a batch. It moves back only by a snapshot that replaces records which the
+// store does not have.
+func (f *Follower) advance(batch Batch) {
+	if !f.hasPosition || batch.End().Compare(f.position) > 0 || f.needsNewest && batch.Snapshot {
+		f.position = batch.End()
+		f.needsNewest = false
 	}
-	f.hasOffset = true
+	f.hasPosition = true
+	f.latestEra = max(f.latestEra, batch.Era)
 }
 
-// confirm records a time at which the offset was known to be the end of the feed.
+// confirm records a time at which the position was known to be the end of the feed.
 func (f *Follower) confirm(moment time.Time) {
 	if moment.After(f.confirmedAt) {
 		f.confirmedAt = moment
 	}
 }
 
-// Offset returns the current offset, and whether the feed was read or received.
-func (f *Follower) Offset() (uint64, bool) {
-	return f.offset, f.hasOffset
+// Position returns the current position, and whether the feed was read or received.
+func (f *Follower) Position() (Position, bool) {
+	return f.position, f.hasPosition
 }
 
-// Age returns how long ago the offset was known to be the end of the feed.
+// Age returns how long ago the position was known to be the end of the feed.
 func (f *Follower) Age(now time.Time) time.Duration {
 	return now.Sub(f.confirmedAt)
 }
--- a/internal/core/mtreplication/follower_test.go
+++ b/internal/core/mtreplication/follower_test.go
@@ -14,10 +14,27 @@
 	return NewFollower(startTime, rand.New(rand.NewPCG(seed, 1)))
 }
 
+// emptyRead returns the result of a read that found no records after an offset.
+func emptyRead(offset uint64) Batch {
+	return Batch{
+		From: offset,
+		To:   offset,
+	}
+}
+
+// readOfOne returns the result of a read of the one record before an offset.
+func readOfOne(offset uint64) Batch {
+	return Batch{
+		From:    offset - 1,
+		To:      offset,
+		Changes: make([]Change, 1),
+	}
+}
+
 // followerAt returns a follower that has read up to an offset at startTime.
 func followerAt(seed uint64, offset uint64) *Follower {
 	follower := newTestFollower(seed)
-	follower.ReadSucceeded(offset, 1, startTime, startTime)
+	follower.ReadSucceeded(readOfOne(offset), startTime, startTime)
 	return follower
 }
 
@@ -42,7 +59,7 @@
 	follower := followerAt(1, 5)
 	reads := countReads(follower, Reader, 40*time.Second, func(now time.Time, wait time.Duration) time.Time {
 		end := now.Add(wait)
-		follower.ReadSucceeded(5, 0, now, end)
+		follower.ReadSucceeded(emptyRead(5), now, end)
 		require.Less(t, follower.Age(end), 200*time.Millisecond)
 		return end
 	})
@@ -52,7 +69,7 @@
 func TestListenerDoesNotReadWhileDataArrivesFromPeers(t *testing.T) {
 	follower := followerAt(1, 5)
 	for now := startTime; now.Before(startTime.Add(10 * time.Second)); now = now.Add(400 * time.Millisecond) {
-		require.False(t, follower.ObservePeerOffset(5, 100*time.Millisecond, now))
+		require.False(t, follower.ObservePeerPosition(Position{Offset: 5}, 100*time.Millisecond, now))
 		action, _ := follower.Next(Listener, now)
 		require.Equal(t, Sleep, action)
 	}
@@ -92,7 +109,7 @@
 	require.LessOrEqual(t, reads, 30)
 	require.GreaterOrEqual(t, reads, 6)
 	require.True(t, reader.IsStoreUnreachable())
-	reader.ReadSucceeded(6, 1, startTime, startTime)
+	reader.ReadSucceeded(readOfOne(6), startTime, startTime)
 	require.False(t, reader.IsStoreUnreachable())
 }
 
@@ -151,17 +168,17 @@
 
 func TestPeerAheadIsDetected(t *testing.T) {
 	follower := followerAt(1, 5)
-	require.True(t, follower.ObservePeerOffset(6, 0, startTime))
-	require.False(t, follower.ObservePeerOffset(4, 0, startTime))
-	require.True(t, newTestFollower(1).ObservePeerOffset(4, 0, startTime))
+	require.True(t, follower.ObservePeerPosition(Position{Offset: 6}, 0, startTime))
+	require.False(t, follower.ObservePeerPosition(Position{Offset: 4}, 0, startTime))
+	require.True(t, newTestFollower(1).ObservePeerPosition(Position{Offset: 4}, 0, startTime))
 }
 
 func TestAgeReportedByPeerIsApplied(t *testing.T) {
 	follower := followerAt(1, 5)
 	now := startTime.Add(10 * time.Second)
-	follower.ObservePeerOffset(5, 700*time.Millisecond, now)
+	follower.ObservePeerPosition(Position{Offset: 5}, 700*time.Millisecond, now)
 	require.Equal(t, 700*time.Millisecond, follower.Age(now))
-	follower.ObservePeerOffset(5, 2*time.Second, now)
+	follower.ObservePeerPosition(Position{Offset: 5}, 2*time.Second, now)
 	require.Equal(t, 700*time.Millisecond, follower.Age(now), "an older report changes nothing")
 }
 
@@ -172,7 +189,7 @@
 	now := startTime
 	for ; now.Before(startTime.Add(5 * time.Second)); now = now.Add(400 * time.Millisecond) {
 		// The oldest data that a working reader reports: a long poll took its whole time and a pause followed.
-		follower.ObservePeerOffset(5, longPollTimeout+readPause, now)
+		follower.ObservePeerPosition(Position{Offset: 5}, longPollTimeout+readPause, now)
 		action, _ := follower.Next(Standby, now.Add(399*time.Millisecond))
 		require.Equal(t, Sleep, action)
 	}
@@ -182,10 +199,10 @@
 	require.Equal(t, longPollTimeout, wait, "it replaces the reader")
 	require.Less(t, standbyReadAge, listenerReadAge)
 	now = lost.Add(standbyReadAge + longPollTimeout)
-	follower.ReadSucceeded(5, 0, lost.Add(standbyReadAge), now)
+	follower.ReadSucceeded(emptyRead(5), lost.Add(standbyReadAge), now)
 	action, _ = follower.Next(Standby, now)
 	require.Equal(t, ReadFromOffset, action, "the reader is still silent")
-	follower.ObservePeerOffset(5, 100*time.Millisecond, now)
+	follower.ObservePeerPosition(Position{Offset: 5}, 100*time.Millisecond, now)
 	action, _ = follower.Next(Standby, now)
 	require.Equal(t, Sleep, action, "the reader has recovered")
 }
--- a/internal/node/mtgateway/compression.go
+++ b/internal/node/mtgateway/compression.go
@@ -26,6 +26,7 @@
 	_ = writer.Close()
 	return &peerv1.Changes{
 		Feed:   changes.GetFeed(),
+		Era:    changes.GetEra(),
 		From:   changes.GetFrom(),
 		To:     changes.GetTo(),
 		Whole:  changes.GetWhole(),
--- a/internal/node/mtgateway/discovery.go
+++ b/internal/node/mtgateway/discovery.go
@@ -63,14 +63,15 @@
 	return addresses
 }
 
-// writeMembers writes the addresses of the instances to the store when they have changed; only the instance that reads
+// writeMembers writes the addresses of the instances to the store when they have changed or the store may have lost them; only the instance that reads
 // the store does so.
 func (g *Gateway) writeMembers(ctx context.Context, addresses []string, now time.Time) {
 	if g.currentStoreRole() != mtreplication.Reader || now.Sub(g.membersWritten) < minMembersWriteInterval {
 		return
 	}
 	value, err := json.Marshal(addresses)
-	if err != nil || string(value) == g.lastMembersRecord {
+	era := g.feeds.latestEra()
+	if err != nil || string(value) == g.lastMembersRecord && era == g.lastMembersEra {
 		return
 	}
 	g.membersWritten = now
@@ -81,6 +82,7 @@
 		return
 	}
 	g.lastMembersRecord = string(value)
+	g.lastMembersEra = era
 }
 
 const (
--- a/internal/node/mtgateway/endpoint_notices.go
+++ b/internal/node/mtgateway/endpoint_notices.go
@@ -89,7 +89,7 @@
 		return
 	}
 	target := g.targets[notice.ID]
-	if target == nil || target.Born != notice.Born || target.Draining {
+	if target == nil || target.Born != notice.Born || target.Draining || !g.registry.IsLeaving(notice.ID, notice.Born) {
 		return
 	}
 	target.Draining = true
@@ -113,6 +113,10 @@
 
 // EndpointNotices returns the endpoints that this instance knows to be leaving or backing off.
 func (g *Gateway) EndpointNotices(now time.Time) []*peerv1.Mark {
+	return g.endpointNotices(maxNoticesPerMessage, now)
+}
+
+func (g *Gateway) endpointNotices(limit int, now time.Time) []*peerv1.Mark {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var notices []*peerv1.Mark
@@ -121,14 +125,15 @@
 	rand.Shuffle(len(leaving), func(i, j int) {
 		leaving[i], leaving[j] = leaving[j], leaving[i]
 	})
-	for _, notice := range leaving[:min(len(leaving), maxNoticesPerMessage)] {
+	for _, notice := range leaving[:min(len(leaving), limit)] {
 		notices = append(notices, &peerv1.Mark{
 			Endpoint: notice.ID,
 			Born:     notice.Born,
+			Seq:      notice.ThroughSeq,
 		})
 	}
 	for _, target := range g.targets {
-		if len(notices) == maxNoticesPerMessage {
+		if len(notices) >= limit {
 			break
 		}
 		if backoff := target.RemainingBackoff(now); backoff > 0 {
@@ -149,8 +154,9 @@
 	for _, notice := range notices {
 		if notice.GetRest() == 0 {
 			g.recordEndpointLeaving(mtregistry.LeaveMark{
-				ID:   notice.GetEndpoint(),
-				Born: notice.GetBorn(),
+				ID:         notice.GetEndpoint(),
+				Born:       notice.GetBorn(),
+				ThroughSeq: notice.GetSeq(),
 			}, true, now)
 			continue
 		}
--- a/internal/node/mtgateway/feed_changes.go
+++ b/internal/node/mtgateway/feed_changes.go
@@ -1,6 +1,8 @@
 package mtgateway
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math/rand/v2"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
 	"github.com/mangotack/mangotack/internal/core/mtreplication"
+	"github.com/mangotack/mangotack/internal/core/mtroute"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
 )
 
@@ -36,22 +39,54 @@
 		if !isConfiguration {
 			continue
 		}
-		current := g.routeTable.Load()
-		if current == nil || table.Version > current.Version {
-			g.routeTable.Store(table)
-			mtevent.ConfigurationApplied.Log(g.logger, logrus.Fields{
+		era := batch.Era
+		if change.Lost {
+			era = change.Era
+		}
+		g.applyTable(table, change, era, source, age)
+	}
+}
+
+// applyTable puts a configuration in force if it replaces the present one; the caller holds applyMu.
+func (g *Gateway) applyTable(
+	table *mtroute.Table, change mtreplication.Change, era uint64, source string, age time.Duration,
+) {
+	next := &configurationInForce{
+		revision: mtroute.Revision{
+			Version: table.Version,
+			Era:     era,
+			Digest:  sha256.Sum256(change.Value),
+		},
+		record: change,
+	}
+	current := g.inForce.Load()
+	if current != nil {
+		replaces, isConflict := next.revision.Replaces(current.revision)
+		if !replaces {
+			return
+		}
+		if isConflict {
+			mtevent.ConfigurationConflict.Log(g.logger, logrus.Fields{
 				"version": table.Version,
-				"routes":  table.Len(),
-				"source":  source,
-				"age":     age.String(),
+				"before":  hex.EncodeToString(current.revision.Digest[:]),
+				"after":   hex.EncodeToString(next.revision.Digest[:]),
 			})
 		}
 	}
+	g.inForce.Store(next)
+	g.routeTable.Store(table)
+	mtevent.ConfigurationApplied.Log(g.logger, logrus.Fields{
+		"version": table.Version,
+		"routes":  table.Len(),
+		"source":  source,
+		"age":     age.String(),
+	})
 }
 
 func (g *Gateway) applyEndpoints(batch mtreplication.Batch, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.registry.BeginEra(batch.Era, now)
 	presentIDs := map[string]bool{}
 	for _, change := range batch.Changes {
 		if change.Deleted {
--- a/internal/node/mtgateway/feeds.go
+++ b/internal/node/mtgateway/feeds.go
@@ -60,6 +60,18 @@
 	return set
 }
 
+// latestEra returns the latest era of the store that a feed has reached.
+func (s *feedSet) latestEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latest := uint64(0)
+	for _, f := range s.byNumber {
+		position, _ := f.follower.Position()
+		latest = max(latest, position.Era)
+	}
+	return latest
+}
+
 // merge applies a batch to the values; the caller holds the mutex of the feedSet.
 func (f *feed) merge(batch mtreplication.Batch) {
 	if batch.Snapshot {
@@ -67,9 +79,12 @@
 	}
 	f.history.add(batch)
 	for _, change := range batch.Changes {
-		if change.Deleted {
+		switch {
+		case change.Lost:
+			// The record is no part of the feed.
+		case change.Deleted:
 			delete(f.values, change.Key)
-		} else {
+		default:
 			f.values[change.Key] = change.Value
 		}
 	}
@@ -91,7 +106,7 @@
 		role := g.currentStoreRole()
 		g.feeds.mu.Lock()
 		action, wait := f.follower.Next(role, now)
-		offset, _ := f.follower.Offset()
+		position, _ := f.follower.Position()
 		g.feeds.mu.Unlock()
 		if action == mtreplication.Sleep {
 			timer.Reset(wait)
@@ -102,7 +117,7 @@
 			}
 			continue
 		}
-		g.readStore(ctx, f, action, offset, wait, role)
+		g.readStore(ctx, f, action, position.Offset, wait, role)
 	}
 }
 
@@ -137,6 +152,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	isAnswer := err == nil || errors.Is(err, mtreplication.ErrNotRetained)
+	if isAnswer && !g.observeEra(f, batch, role, now) {
+		return
+	}
 	if err != nil {
 		g.handleReadFailure(f, err, role, now)
 		return
@@ -146,7 +165,7 @@
 	g.feeds.mu.Lock()
 	failures := f.follower.ConsecutiveFailures()
 	accepted := f.follower.Accepts(batch)
-	f.follower.ReadSucceeded(batch.To, len(batch.Changes), sentAt, now)
+	f.follower.ReadSucceeded(batch, sentAt, now)
 	if accepted {
 		f.merge(batch)
 	}
@@ -170,6 +189,33 @@
 	}
 }
 
+// observeEra compares the era of an answer of the store with the latest one known, and reports whether the answer can
+// be used.
+func (g *Gateway) observeEra(f *feed, batch mtreplication.Batch, role mtreplication.Role, now time.Time) bool {
+	g.feeds.mu.Lock()
+	order := f.follower.ObserveEra(batch.Era, role, now)
+	if order == mtreplication.OldEra {
+		f.follower.ReadFailed(role, now)
+	}
+	position, _ := f.follower.Position()
+	g.feeds.mu.Unlock()
+	if order == mtreplication.SameEra {
+		return true
+	}
+	event := mtevent.StoreRestored
+	if order == mtreplication.OldEra {
+		event = mtevent.StoreAnswerOutdated
+	}
+	g.metrics.countEra(order)
+	event.Log(g.logger, logrus.Fields{
+		"feed":   f.number.String(),
+		"era":    batch.Era,
+		"before": position.Era,
+		"offset": position.Offset,
+	})
+	return order == mtreplication.NewEra && batch.Snapshot
+}
+
 func (g *Gateway) handleReadFailure(f *feed, err error, role mtreplication.Role, now time.Time) {
 	if errors.Is(err, mtreplication.ErrNotRetained) {
 		g.feeds.mu.Lock()
@@ -210,11 +256,12 @@
 	self.Standings = self.Standings[:0]
 	self.Cut = false
 	for _, f := range g.feeds.byNumber {
-		offset, known := f.follower.Offset()
+		position, known := f.follower.Position()
 		standing := &peerv1.Standing{}
 		if known {
 			standing.Known = true
-			standing.Offset = offset
+			standing.Era = position.Era
+			standing.Offset = position.Offset
 			standing.Age = uint64(max(0, f.follower.Age(now).Milliseconds()))
 		}
 		self.Standings = append(self.Standings, standing)
@@ -223,6 +270,7 @@
 	self.Capacity = float32(g.settings().Capacity)
 	self.Link = float32(g.settings().Link)
 	self.Traffic = float32(g.responseByteRate.perSecond(now) * megabitsPerByte)
+	self.Version = g.versionInForce()
 	self.Ready = g.isReady()
 	self.Leaving = g.leaving.Load()
 	self.Strained = g.lacksCPU.Load()
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -82,8 +82,8 @@
 	}
 	group.Wait()
 	require.Equal(t, last, gateway.targets["e-1"].Slots)
-	reached, _ := gateway.feeds.byNumber[mtreplication.EndpointFeed].follower.Offset()
-	require.EqualValues(t, last, reached)
+	reached, _ := gateway.feeds.byNumber[mtreplication.EndpointFeed].follower.Position()
+	require.EqualValues(t, last, reached.Offset)
 }
 
 func TestOlderFullStateIsIgnored(t *testing.T) {
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -1,5 +1,6 @@
 // Lock order, outermost lock first. A goroutine that holds a lock may take only locks further down this list:
 //
+//	Gateway.rolesMu    selection of the instances with a role
 //	Gateway.applyMu    one batch of changes at a time, from its acceptance until it is in force
 //	Gateway.mu         registry of endpoints, placers, waiting requests
 //	mtmesh.Mesh        rows of the instances; CompleteRow takes feedSet.mu under it
@@ -63,6 +64,9 @@
 	peerClient       *http.Client
 
 	routeTable        atomic.Pointer[mtroute.Table]
+	inForce           atomic.Pointer[configurationInForce]
+	announcedVersion  highestVersion
+	startedAt         time.Time
 	applyMu           sync.Mutex
 	receivers         atomic.Pointer[receiverSet]
 	roleSelectionWake chan struct{}
@@ -79,11 +83,13 @@
 	// endpointsLoaded is set once the full list of endpoints has been read.
 	endpointsLoaded atomic.Bool
 
-	// Only runMaintenance and its callees use the fields from here to lastMembersRecord.
+	// Only runMaintenance and its callees use the fields from here to lastMembersEra.
 	lastDiscovery     time.Time
 	discoveryInterval time.Duration
 	membersWritten    time.Time
 	lastMembersRecord string
+	// lastMembersEra is the era of the store in which lastMembersRecord was written.
+	lastMembersEra uint64
 
 	// mu is locked before the mutex of the endpoint pool.
 	mu             sync.Mutex
@@ -110,6 +116,7 @@
 	}
 	gateway := &Gateway{
 		store:          store,
+		startedAt:      now,
 		headerCodec:    headerCodec,
 		recordDecoder:  recordDecoder,
 		logger:         logger,
@@ -268,7 +275,7 @@
 
 // isStateLoaded reports whether the configuration and the endpoints are loaded.
 func (g *Gateway) isStateLoaded() bool {
-	return g.endpointsLoaded.Load() && g.routeTable.Load() != nil
+	return g.endpointsLoaded.Load() && g.routeTable.Load() != nil && !g.awaitsAnnouncedVersion(time.Now())
 }
 
 // expectedDuration returns how long a request should take at an idle endpoint.
--- a/internal/node/mtgateway/metrics.go
+++ b/internal/node/mtgateway/metrics.go
@@ -75,6 +75,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mangotack_gateway_store_calls_total{feed=%q,result=%q}`, feed, result)).Inc()
 }
 
+// countEra counts an answer of the store that is of another era than the one before.
+func (m *gatewayMetrics) countEra(order mtreplication.EraOrder) {
+	name := "mangotack_gateway_store_restores_total"
+	if order == mtreplication.OldEra {
+		name = "mangotack_gateway_store_outdated_answers_total"
+	}
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
 func (m *gatewayMetrics) addGauge(name string, read func() float64) {
 	m.set.NewGauge(name, read)
 }
--- a/internal/node/mtgateway/replication.go
+++ b/internal/node/mtgateway/replication.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -49,6 +51,7 @@
 func newChangesMessage(batch mtreplication.Batch, age time.Duration) *peerv1.Changes {
 	changes := &peerv1.Changes{
 		Feed:  uint32(batch.Feed),
+		Era:   batch.Era,
 		From:  batch.From,
 		To:    batch.To,
 		Whole: batch.Snapshot,
@@ -59,6 +62,8 @@
 			Key:   change.Key,
 			Value: change.Value,
 			Gone:  change.Deleted,
+			Lost:  change.Lost,
+			Era:   change.Era,
 		})
 	}
 	return changes
@@ -75,12 +80,17 @@
 func (g *Gateway) applyPeerChanges(received *peerv1.Changes, now time.Time) bool {
 	changes, err := decompressChanges(received)
 	f := g.feedByNumber(received.GetFeed())
-	if f == nil || err != nil {
+	if f == nil {
+		g.logger.WithField("feed", received.GetFeed()).Debug("unknown feed in changes from a peer; ignoring them")
+		return false
+	}
+	if err != nil {
 		g.logger.WithError(err).Debug("could not decode changes from a peer; ignoring them")
 		return false
 	}
 	batch := mtreplication.Batch{
 		Feed:     f.number,
+		Era:      changes.GetEra(),
 		From:     changes.GetFrom(),
 		To:       changes.GetTo(),
 		Snapshot: changes.GetWhole(),
@@ -90,8 +100,14 @@
 			Key:     change.GetKey(),
 			Value:   change.GetValue(),
 			Deleted: change.GetGone(),
+			Lost:    change.GetLost(),
+			Era:     change.GetEra(),
 		})
 	}
+	// The notices go first, because an endpoint that has left may be listed in the changes.
+	if notices := changes.GetMarks(); len(notices) > 0 {
+		g.ApplyEndpointNotices(notices, now)
+	}
 	age := time.Duration(changes.GetAge()) * time.Millisecond
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
@@ -104,9 +120,12 @@
 	g.feeds.mu.Unlock()
 	if accepted {
 		g.applyBatch(batch, "peer", age, now)
-	}
-	if notices := changes.GetMarks(); len(notices) > 0 {
-		g.ApplyEndpointNotices(notices, now)
+	} else if f.number == mtreplication.ConfigurationFeed {
+		// A record in force that the store has lost belongs to no position of the feed.
+		batch.Changes = slices.DeleteFunc(batch.Changes, func(change mtreplication.Change) bool {
+			return !change.Lost
+		})
+		g.applyBatch(batch, "peer", age, now)
 	}
 	return accepted
 }
@@ -122,20 +141,27 @@
 			// The first start of a deployment: the peer has read the feed, which has no records yet.
 			g.applyPeerChanges(&peerv1.Changes{
 				Feed:  uint32(f.number),
+				Era:   standing.GetEra(),
 				Whole: true,
 				Age:   standing.GetAge(),
 			}, now)
 		}
+		position := positionOf(standing)
 		g.feeds.mu.Lock()
-		behind := f.follower.ObservePeerOffset(standing.GetOffset(), time.Duration(standing.GetAge())*time.Millisecond, now)
-		_, known := f.follower.Offset()
+		behind := f.follower.ObservePeerPosition(position, time.Duration(standing.GetAge())*time.Millisecond, now)
+		_, known := f.follower.Position()
+		if !behind && f.number == mtreplication.ConfigurationFeed && row.GetVersion() > g.versionInForce() {
+			// The store has lost the configuration that the peer has in force.
+			behind, known = true, false
+		}
 		startFetch := behind && !f.fetching
 		f.fetching = f.fetching || startFetch
 		g.feeds.mu.Unlock()
 		if startFetch {
-			go g.fetchFeed(f, standing.GetOffset(), row.GetMesh(), known)
+			go g.fetchFeed(f, position, row.GetMesh(), known)
 		}
 	}
+	g.announcedVersion.raise(row.GetVersion())
 	g.feeds.mu.Lock()
 	flags := rowRoleFlags{
 		incarnation:      row.GetIncarnation(),
@@ -156,37 +182,46 @@
 func (g *Gateway) hasOffset(f *feed) bool {
 	g.feeds.mu.Lock()
 	defer g.feeds.mu.Unlock()
-	_, known := f.follower.Offset()
+	_, known := f.follower.Position()
 	return known
 }
 
-// fetchFeed reads a feed from a peer that has reached an offset.
+// positionOf returns the position of an instance in a feed.
+func positionOf(standing *peerv1.Standing) mtreplication.Position {
+	return mtreplication.Position{
+		Era:    standing.GetEra(),
+		Offset: standing.GetOffset(),
+	}
+}
+
+// fetchFeed reads a feed from a peer that has reached a position.
 //
 // An instance that already has an older state waits first, because the changes may be on their way. It chooses a random
 // peer that has them, because otherwise all instances would ask the one that read the store.
-func (g *Gateway) fetchFeed(f *feed, offset uint64, address string, hasOlderState bool) {
+func (g *Gateway) fetchFeed(f *feed, position mtreplication.Position, address string, hasOlderState bool) {
 	defer func() {
 		g.feeds.mu.Lock()
 		defer g.feeds.mu.Unlock()
 		f.fetching = false
 	}()
-	from := uint64(0)
+	from := mtreplication.Position{}
 	if hasOlderState {
 		time.Sleep(meanPeerReadDelay/2 + rand.N(meanPeerReadDelay))
 		g.feeds.mu.Lock()
-		from, _ = f.follower.Offset()
+		from, _ = f.follower.Position()
 		g.feeds.mu.Unlock()
-		if from >= offset {
+		if from.Compare(position) >= 0 {
 			return
 		}
 	}
-	address = g.randomPeerAtOffset(f.number, offset, address)
+	address = g.randomPeerAtPosition(f.number, position, address)
 	ctx, cancel := context.WithTimeout(context.Background(), peerReadTimeout)
 	defer cancel()
 	client := peerv1.NewMeshServiceProtobufClient("http://"+address, g.peerClient)
 	changes, err := client.Whole(ctx, &peerv1.WholeRequest{
 		Feed: uint32(f.number),
-		From: from,
+		Era:  from.Era,
+		From: from.Offset,
 	})
 	if err != nil {
 		g.logger.WithField("peer", address).WithError(err).Debug("could not read feed from peer")
@@ -195,13 +230,15 @@
 	g.applyPeerChanges(changes, time.Now())
 }
 
-// randomPeerAtOffset returns the mesh address of a random instance that has reached an offset of a feed, or fallback.
-func (g *Gateway) randomPeerAtOffset(number mtreplication.Feed, offset uint64, fallback string) string {
+// randomPeerAtPosition returns the mesh address of a random instance that has reached a position in a feed, or fallback.
+func (g *Gateway) randomPeerAtPosition(
+	number mtreplication.Feed, position mtreplication.Position, fallback string,
+) string {
 	var addresses []string
 	for _, instance := range g.mesh.Instances(time.Now()) {
 		standings := instance.Row.GetStandings()
 		isPeer := instance.Row.GetInstance() != g.settings().Instance
-		if isPeer && int(number) < len(standings) && standings[number].GetOffset() >= offset {
+		if isPeer && int(number) < len(standings) && positionOf(standings[number]).Compare(position) >= 0 {
 			addresses = append(addresses, instance.Row.GetMesh())
 		}
 	}
@@ -218,7 +255,7 @@
 		Whole: true,
 	}
 	if mtreplication.Feed(request.GetFeed()) == mtreplication.EndpointFeed {
-		changes.Marks = g.EndpointNotices(time.Now())
+		changes.Marks = g.endpointNotices(math.MaxInt, time.Now())
 	}
 	f := g.feedByNumber(request.GetFeed())
 	if f == nil {
@@ -226,21 +263,27 @@
 	}
 	g.feeds.mu.Lock()
 	defer g.feeds.mu.Unlock()
-	offset, known := f.follower.Offset()
+	position, known := f.follower.Position()
 	if !known {
 		return nil, twirp.NotFoundError("the feed has not been read yet")
 	}
-	if recentChanges, found := f.history.since(request.GetFrom()); found && request.GetFrom() > 0 {
+	recentChanges, found := f.history.since(request.GetFrom())
+	if found && request.GetFrom() > 0 && request.GetEra() == position.Era {
 		age := f.follower.Age(time.Now())
 		return compressChanges(newChangesMessage(mtreplication.Batch{
 			Feed:    f.number,
+			Era:     position.Era,
 			From:    request.GetFrom(),
-			To:      offset,
+			To:      position.Offset,
 			Changes: recentChanges,
 		}, age)), nil
 	}
-	changes.To = offset
+	changes.Era = position.Era
+	changes.To = position.Offset
 	changes.Age = uint64(max(0, f.follower.Age(time.Now()).Milliseconds()))
+	if lost := g.lostConfiguration(position.Era); lost != nil && f.number == mtreplication.ConfigurationFeed {
+		changes.Changes = append(changes.Changes, lost)
+	}
 	for key, value := range f.values {
 		changes.Changes = append(changes.Changes, &peerv1.Change{
 			Key:   key,
--- a/internal/soak/mtschedule/schedule.go
+++ b/internal/soak/mtschedule/schedule.go
@@ -54,6 +54,9 @@
 	// StoreDropHistory drops the history of the configuration and of the endpoints, but for the newest record of each
 	// key.
 	StoreDropHistory Kind = "store-forgets"
+	// StoreRestore takes a copy of the store, takes the store down after the duration of the event, and returns it with
+	// the copy; the operator and the endpoints then write again.
+	StoreRestore Kind = "store-restored"
 )
 
 // The faults of endpoints, and between instances and an endpoint; Target is the index of the endpoint.
@@ -181,6 +184,15 @@
 // NewSchedule draws the events of a seed and returns them in the order of their times; the same seed and parameters
 // give the same events.
 func NewSchedule(seed uint64, parameters Parameters) []Event {
+	events := append(drawEvents(seed, parameters), drawRestores(seed, parameters)...)
+	slices.SortStableFunc(events, func(a, b Event) int {
+		return cmp.Compare(a.At, b.At)
+	})
+	return events
+}
+
+// drawEvents draws all events but the restores of the store.
+func drawEvents(seed uint64, parameters Parameters) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
 	groupSizes := map[targetGroup]int{
 		noTarget:        1,
@@ -214,3 +226,29 @@
 		events = append(events, event)
 	}
 }
+
+// restoreIntervals is the mean time between two restores of the store, as a multiple of the mean time between two events,
+// and minRestoreLoss and maxRestoreLoss bound the time of which the store loses what was written.
+const (
+	restoreIntervals = 20
+	minRestoreLoss   = second / 2
+	maxRestoreLoss   = 3 * second
+)
+
+// drawRestores draws the restores of the store. They have a random source of their own, so that the other events of a
+// seed are those of a schedule without restores.
+func drawRestores(seed uint64, parameters Parameters) []Event {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var events []Event
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * restoreIntervals * float64(parameters.MeanInterval))
+		if at >= parameters.Duration {
+			return events
+		}
+		events = append(events, Event{
+			At:       at,
+			Kind:     StoreRestore,
+			Duration: minRestoreLoss + time.Duration(random.Int64N(int64(maxRestoreLoss-minRestoreLoss))),
+		})
+	}
+}
--- a/internal/soak/mtschedule/schedule_test.go
+++ b/internal/soak/mtschedule/schedule_test.go
@@ -1,6 +1,7 @@
 package mtschedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,5 +22,20 @@
 	for _, event := range events {
 		drawn[event.Kind] = true
 	}
-	require.Len(t, drawn, len(boundsByKind), "an hour draws each kind of event")
+	require.True(t, drawn[StoreRestore])
+	require.Len(t, drawn, len(boundsByKind)+1, "an hour draws each kind of event, and restores of the store")
+}
+
+// Seeds that have found a fault must go on to draw the events with which they found it.
+func TestRestoresLeaveOtherEventsOfASeedAlone(t *testing.T) {
+	parameters := Parameters{
+		Duration:     time.Hour,
+		Instances:    4,
+		Endpoints:    6,
+		MeanInterval: time.Second,
+	}
+	events := slices.DeleteFunc(NewSchedule(7, parameters), func(event Event) bool {
+		return event.Kind == StoreRestore
+	})
+	require.Equal(t, drawEvents(7, parameters), events)
 }
--- a/internal/soak/mtsoak/endpoint.go
+++ b/internal/soak/mtsoak/endpoint.go
@@ -69,6 +69,8 @@
 	server *http.Server
 	// fault is the kind of the current fault, or empty.
 	fault mtschedule.Kind
+	// state is the registered state.
+	state string
 	// drainingSince is when the endpoint was registered as draining, or 0.
 	drainingSince time.Duration
 }
@@ -104,8 +106,35 @@
 	_ = e.server.Close()
 }
 
+// register writes a record with a state to the store.
 func (e *endpoint) register(state string) {
-	e.run.store.Put(mtname.EndpointTopic, e.fake.ID, e.fake.StoreRecord(e.proxy.Address(), state))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
+	e.writeRecord()
+}
+
+// registerNewProcess writes the first record of the next process.
+func (e *endpoint) registerNewProcess() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fake.Born++
+	e.fake.Seq = 0
+	e.state = "ready"
+	e.writeRecord()
+}
+
+// registerAgain writes the present state again.
+func (e *endpoint) registerAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.writeRecord()
+}
+
+// writeRecord writes the next record to the store; the caller holds mu.
+func (e *endpoint) writeRecord() {
+	e.fake.Seq++
+	e.run.store.Put(mtname.EndpointTopic, e.fake.ID, e.fake.StoreRecord(e.proxy.Address(), e.state))
 }
 
 func (e *endpoint) setFault(fault mtschedule.Kind) {
--- a/internal/soak/mtsoak/faults.go
+++ b/internal/soak/mtsoak/faults.go
@@ -80,6 +80,8 @@
 		r.republishPrevious()
 		r.sleep(event.Duration)
 		r.publishNext(0)
+	case mtschedule.StoreRestore:
+		r.restoreStore(event.Duration)
 	case mtschedule.StoreDropHistory:
 		r.store.Compact(mtname.ConfigurationTopic)
 		r.store.Compact(mtname.EndpointTopic)
@@ -132,6 +134,32 @@
 	r.store.SetFault(nil)
 }
 
+const (
+	// restoreOutage is how long the store is down before it returns with a copy, and rewriteDelay how long after that
+	// the operator and the endpoints write again.
+	restoreOutage = 500 * time.Millisecond
+	rewriteDelay  = 200 * time.Millisecond
+)
+
+// restoreStore makes the store lose what is written in a duration from now. The operator writes the newest version
+// again, and each endpoint its state.
+func (r *run) restoreStore(duration time.Duration) {
+	backup := r.store.Copy()
+	r.sleep(duration)
+	r.withFault("store", restoreOutage, func() {
+		r.store.SetFault(func(string, string) mtfake.Fault { return storeFaults[mtschedule.StoreDown] })
+	}, func() {
+		r.store.Restore(backup)
+		r.store.SetFault(nil)
+	})
+	r.withFault("store", rewriteDelay, func() {}, func() {
+		r.republishNewest()
+		for _, e := range r.endpoints {
+			e.registerAgain()
+		}
+	})
+}
+
 // killGateway kills the process of an instance and starts the next one after a duration. It does nothing while the
 // process is being replaced.
 func (r *run) killGateway(index int, duration time.Duration) {
@@ -207,8 +235,7 @@
 	if err := e.start(); err != nil {
 		r.checker.Report(r.now(), mtinvariant.Recovers, "%s: %v", e.name(), err)
 	}
-	e.fake.Born++
-	e.register("ready")
+	e.registerNewProcess()
 }
 
 // drainEndpoint registers an endpoint as draining, and as ready after a duration. It does nothing while the endpoint
@@ -222,8 +249,7 @@
 	e.setDraining(r.now())
 	r.sleep(duration)
 	e.setDraining(0)
-	e.fake.Born++
-	e.register("ready")
+	e.registerNewProcess()
 }
 
 // publishVersions publishes the next versions without a pause between them.
--- a/internal/soak/mtsoak/run.go
+++ b/internal/soak/mtsoak/run.go
@@ -272,6 +272,16 @@
 	r.publishedAt = math.MaxInt64
 }
 
+// republishNewest puts the newest version into the store again, after the store has lost it.
+func (r *run) republishNewest() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store.Put(mtname.ConfigurationTopic, mtname.ConfigurationKey, mtfake.Configuration(r.version, 0))
+	if r.publishedAt != math.MaxInt64 {
+		r.publishedAt = r.now()
+	}
+}
+
 // newestVersion returns the newest version and when it was published.
 func (r *run) newestVersion() (int, time.Duration) {
 	r.mu.Lock()
