An instance that takes the reader's role reads the store at once

Ruled out: leaving the wait to listeners alone (the standby is to be spared). Change: the reader's first read has no wait of its own. The test of the bound no longer covers the reader; a stricter one does.

--- a/internal/core/mtreplication/follower.go
+++ b/internal/core/mtreplication/follower.go
@@ -37,7 +37,7 @@
 	rankDelay       = 15 * time.Millisecond
 	maxLowRank      = 20
 	highRankDelay   = 100 * time.Millisecond
-	// startupWait is how long an instance that starts waits for data from a peer before it reads, and maxStartupJitter
+	// startupWait is how long a standby that starts waits for data from a peer before it reads, and maxStartupJitter
 	// bounds the random time added to it, so that a restart of all instances does not cause reads at the same time.
 	startupWait      = 60 * time.Millisecond
 	maxStartupJitter = 80 * time.Millisecond
@@ -147,11 +147,7 @@
 // Next returns what to do now; wait is how long to sleep, or how long the store may delay the answer to the read.
 func (f *Follower) Next(role Role, now time.Time) (action Action, wait time.Duration) {
 	if !f.hasPosition {
-		startupEnd := f.started.Add(startupWait + f.startupJitter)
-		if role == Listener {
-			startupEnd = startupEnd.Add(listenerStartupWait)
-		}
-		if now.Before(startupEnd) {
+		if startupEnd := f.startupEnd(role); now.Before(startupEnd) {
 			return Sleep, min(maxSleep, startupEnd.Sub(now))
 		}
 	}
@@ -168,6 +164,19 @@
 	return ReadFromOffset, longPoll
 }
 
+// startupEnd returns when an instance that has started without data reads. An instance takes the role of the reader only
+// after it has waited for its peers, and callers wait for its data after a restart of all.
+func (f *Follower) startupEnd(role Role) time.Time {
+	switch role {
+	case Reader:
+		return f.started
+	case Standby:
+		return f.started.Add(startupWait + f.startupJitter)
+	default:
+		return f.started.Add(startupWait + f.startupJitter + listenerStartupWait)
+	}
+}
+
 // readDue returns the time from which on an instance reads, and how long the store may delay the answer.
 func (f *Follower) readDue(role Role) (at time.Time, longPoll time.Duration) {
 	switch role {
--- a/internal/core/mtreplication/follower_test.go
+++ b/internal/core/mtreplication/follower_test.go
@@ -143,7 +143,6 @@
 	for role, maxWait := range map[Role]time.Duration{
 		Listener: startupWait + maxStartupJitter + listenerStartupWait,
 		Standby:  startupWait + maxStartupJitter,
-		Reader:   startupWait + maxStartupJitter,
 	} {
 		follower := newTestFollower(1)
 		action, wait := follower.Next(role, startTime)
@@ -154,6 +153,12 @@
 	}
 }
 
+// After a restart of all instances, callers wait for the first instance that has the configuration.
+func TestReaderReadsAtOnceAfterItsStart(t *testing.T) {
+	action, _ := newTestFollower(1).Next(Reader, startTime)
+	require.Equal(t, ReadNewest, action)
+}
+
 func TestBatchMustBeContiguousWithOffset(t *testing.T) {
 	follower := followerAt(1, 5)
 	require.True(t, follower.Accepts(Batch{From: 5, To: 6}))
