Answers are logged with the wait of their attempt and the objective left

Cause: the log did not tell whether a late answer had waited here, or had started late as a second attempt, or ran long. Change: fields waited (from arrival to the choice of the endpoint) and left (objective at arrival), in milliseconds.

--- a/internal/core/mtscheduler/choose_endpoint.go
+++ b/internal/core/mtscheduler/choose_endpoint.go
@@ -90,6 +90,7 @@
 	return &Assignment{
 		ID:                   request.ID,
 		Endpoint:             best.endpoint,
+		Waited:               now.Sub(request.ArrivedAt),
 		Concurrency:          best.concurrency,
 		ExpectedResponseTime: best.expected,
 		HostSlowdown:         best.hostSlowdown,
--- a/internal/core/mtscheduler/scheduler.go
+++ b/internal/core/mtscheduler/scheduler.go
@@ -42,6 +42,8 @@
 type Assignment struct {
 	ID       uint64
 	Endpoint *Endpoint
+	// Waited is the time from the arrival of the request until the assignment.
+	Waited time.Duration
 	// Concurrency is the estimated number of requests at the endpoint, including this one.
 	Concurrency int
 	// ExpectedResponseTime is the expected response time of the endpoint.
--- a/internal/node/mtgateway/active_request_log.go
+++ b/internal/node/mtgateway/active_request_log.go
@@ -50,6 +50,7 @@
 // reported its load has no age.
 func addGrantFields(fields logrus.Fields, grant mtscheduler.Assignment) {
 	fields["endpoint"] = grant.Endpoint.ID
+	fields["waited"] = grant.Waited.Milliseconds()
 	fields["busy"] = grant.Concurrency
 	fields["pace"] = math.Round(grant.HostSlowdown*paceStepsPerUnit) / paceStepsPerUnit
 	fields["expected"] = grant.ExpectedResponseTime.Milliseconds()
@@ -103,6 +104,7 @@
 	}
 	fields := a.logFields(elapsed, &grant)
 	fields["status"] = reply.Status
+	fields["left"] = a.objective.Sub(a.call.ArrivedAt).Milliseconds()
 	a.gateway.requestLog.write(mtevent.CallAnswered, fields)
 }
 
