--- a/internal/standin/mtcompare/command.go
+++ b/internal/standin/mtcompare/command.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -39,6 +40,11 @@
 			if err != nil {
 				return err
 			}
+			unlock, err := lockDirectory(s.work)
+			if err != nil {
+				return err
+			}
+			defer unlock()
 			if err := s.play(command.Context(), pairs); err != nil {
 				return err
 			}
@@ -132,6 +138,22 @@
 	return group.Wait()
 }
 
+// lockDirectory creates a directory and locks it against other processes until unlock is called or the process ends.
+func lockDirectory(directory string) (unlock func(), err error) {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return nil, err
+	}
+	file, err := os.OpenFile(filepath.Join(directory, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return nil, fmt.Errorf("%s is in use by another comparison: %w", directory, err)
+	}
+	return func() { _ = file.Close() }, nil
+}
+
 // checkOut clones the repository of the current directory into a directory below work, or updates the clone, and
 // checks out a revision.
 func (s settings) checkOut(ctx context.Context, name, revision string) (string, error) {
