Gossip stays mostly inside a data centre; messages for all are forwarded there

Change: of the four messages of a round one goes to another data centre; heartbeats of instances with a role and small changes go to two instances of each other data centre, which forward them there (field forward; an older build ignores it and learns by gossip).

--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -205,33 +205,59 @@
 	m.mu.Lock()
 	m.rounds++
 	hasRole := m.listener.CompleteRow(m.view.SelfRow(), now)
-	addresses := m.peerAddresses(now)
-	selected := addresses
-	if len(selected) > fanout {
-		m.random.Shuffle(len(selected), func(i, j int) {
-			selected[i], selected[j] = selected[j], selected[i]
-		})
-		selected = selected[:fanout]
-	}
+	peers := m.peerRows(now)
+	mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, fanout, m.random)
+	addresses := m.addressesOf(peers)
+	selected := addresses[:min(len(addresses), fanout)]
 	message, err := m.encodeGossip(notices)
-	rowMessage, rowErr := proto.Marshal(&peerv1.Gossip{
-		Rows:  []*peerv1.Row{m.view.SelfRow()},
-		Marks: notices,
-	})
+	var rowMessage *peerv1.Gossip
+	var local, relays []*peerv1.Row
+	if hasRole || all {
+		rowMessage = &peerv1.Gossip{
+			Rows:  []*peerv1.Row{proto.CloneOf(m.view.SelfRow())},
+			Marks: notices,
+		}
+		local, relays = m.view.SelectRelays(peers, m.random, now)
+	}
 	if len(addresses) == 0 || m.rounds%seedRoundInterval == 0 {
 		selected = append(slices.Clone(selected), m.seedAddresses()...)
 	}
 	m.mu.Unlock()
-	if err := errors.Join(err, rowErr); err != nil {
+	if err != nil {
 		m.logger.WithError(err).Debug("encoding a gossip message failed; it is not sent")
 		return
 	}
 	m.send(message, selected)
-	if hasRole || all {
-		m.send(rowMessage, addresses[min(len(addresses), fanout):])
+	if rowMessage != nil {
+		m.sendToAll(rowMessage, local, relays)
+	}
+}
+
+// sendToAll sends a message to instances of the own data centre, and to relays in the others.
+func (m *Mesh) sendToAll(message *peerv1.Gossip, local, relays []*peerv1.Row) {
+	for _, recipients := range [][]*peerv1.Row{local, relays} {
+		encoded, err := proto.Marshal(message)
+		if err != nil {
+			m.logger.WithError(err).Debug("encoding a message for all instances failed; it is not sent")
+			return
+		}
+		m.mu.Lock()
+		addresses := m.addressesOf(recipients)
+		m.mu.Unlock()
+		m.send(encoded, addresses)
+		message.Forward = true
 	}
 }
 
+// forward sends a message of an instance of another data centre to the other instances of this one.
+func (m *Mesh) forward(message *peerv1.Gossip, now time.Time) {
+	message.Forward = false
+	m.mu.Lock()
+	local, _ := m.view.SelectRelays(m.peerRows(now), m.random, now)
+	m.mu.Unlock()
+	m.sendToAll(message, local, nil)
+}
+
 // encodeGossip returns the next gossip message. The caller must hold mu.
 func (m *Mesh) encodeGossip(notices []*peerv1.Mark) ([]byte, error) {
 	gossip := m.view.GossipMessage(maxRowsPerMessage, maxHeartbeatsPerMessage, m.random)
@@ -254,9 +280,18 @@
 	m.send(message, []*net.UDPAddr{address})
 }
 
-// peerAddresses returns the addresses of the other instances. The caller must hold mu.
-func (m *Mesh) peerAddresses(now time.Time) []*net.UDPAddr {
+// addressesOf returns the addresses of instances. The caller must hold mu.
+func (m *Mesh) addressesOf(rows []*peerv1.Row) []*net.UDPAddr {
 	var addresses []*net.UDPAddr
+	for _, row := range rows {
+		addresses = append(addresses, m.resolveAddress(row.GetMesh()))
+	}
+	return addresses
+}
+
+// peerRows returns the rows of the other instances that messages are sent to. The caller must hold mu.
+func (m *Mesh) peerRows(now time.Time) []*peerv1.Row {
+	var peers []*peerv1.Row
 	for _, row := range m.view.Rows() {
 		if row.GetInstance() == m.view.SelfRow().GetInstance() {
 			continue
@@ -266,9 +301,9 @@
 			m.random.IntN(seedRoundInterval) > 0 {
 			continue
 		}
-		addresses = append(addresses, m.resolveAddress(row.GetMesh()))
+		peers = append(peers, row)
 	}
-	return addresses
+	return peers
 }
 
 func (m *Mesh) seedAddresses() []*net.UDPAddr {
@@ -306,17 +341,12 @@
 
 // BroadcastChanges sends changes of a feed to all other instances.
 func (m *Mesh) BroadcastChanges(changes *peerv1.Changes, now time.Time) {
-	message, err := proto.Marshal(&peerv1.Gossip{
-		Changes: changes,
-	})
-	if err != nil {
-		m.logger.WithError(err).Debug("encoding changes failed; they are not sent")
-		return
-	}
 	m.mu.Lock()
-	addresses := m.peerAddresses(now)
+	local, relays := m.view.SelectRelays(m.peerRows(now), m.random, now)
 	m.mu.Unlock()
-	m.send(message, addresses)
+	m.sendToAll(&peerv1.Gossip{
+		Changes: changes,
+	}, local, relays)
 }
 
 // changesFanout is the number of instances that each instance forwards larger changes to. With 5, some 7 of 1000
@@ -333,12 +363,11 @@
 		return
 	}
 	m.mu.Lock()
-	addresses := m.peerAddresses(now)
-	m.random.Shuffle(len(addresses), func(i, j int) {
-		addresses[i], addresses[j] = addresses[j], addresses[i]
-	})
+	peers := m.peerRows(now)
+	mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, changesFanout, m.random)
+	addresses := m.addressesOf(peers[:min(len(peers), changesFanout)])
 	m.mu.Unlock()
-	m.send(message, addresses[:min(len(addresses), changesFanout)])
+	m.send(message, addresses)
 }
 
 // AddSeeds adds addresses at which other instances may be reached and sends a gossip message, also to all seeds if one
@@ -375,6 +404,9 @@
 }
 
 func (m *Mesh) handleMessage(message *peerv1.Gossip, now time.Time) {
+	if message.GetForward() {
+		m.forward(message, now)
+	}
 	if rows := message.GetRows(); len(rows) > 0 {
 		m.mu.Lock()
 		joined := m.view.Merge(message, now)
