--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -225,13 +225,13 @@
 	selected := addresses[:min(len(addresses), fanout)]
 	message, err := m.encodeGossip(notices)
 	var rowMessage *peerv1.Gossip
-	var local, relays []*peerv1.Row
+	var direct, relays []*peerv1.Row
 	if hasRole || all {
 		rowMessage = &peerv1.Gossip{
 			Rows:  []*peerv1.Row{proto.CloneOf(m.view.SelfRow())},
 			Marks: notices,
 		}
-		local, relays = m.recipientsForAll(peers, now)
+		direct, relays = m.recipientsForAll(peers, now)
 	}
 	if len(addresses) == 0 || m.rounds%seedRoundInterval == 0 {
 		selected = append(slices.Clone(selected), m.seedAddresses()...)
@@ -243,7 +243,7 @@
 	}
 	m.send(message, selected)
 	if rowMessage != nil {
-		m.sendToAll(rowMessage, local, relays)
+		m.sendToAll(rowMessage, direct, relays)
 	}
 }
 
@@ -376,11 +376,11 @@
 // BroadcastChanges sends changes of a feed to all other instances.
 func (m *Mesh) BroadcastChanges(changes *peerv1.Changes, now time.Time) {
 	m.mu.Lock()
-	local, relays := m.recipientsForAll(m.peerRows(now), now)
+	direct, relays := m.recipientsForAll(m.peerRows(now), now)
 	m.mu.Unlock()
 	m.sendToAll(&peerv1.Gossip{
 		Changes: changes,
-	}, local, relays)
+	}, direct, relays)
 }
 
 // changesFanout is the number of instances that each instance forwards larger changes to. With 5, some 7 of 1000
