Tests of the bound on notices and of notices about earlier processes

Change: three tests. The bound for endpoints that back off, and the count of the record that a mark applies to, are noticed now. The comparison of the incarnation is made twice since marks carry a count (registry and gateway), so removing one is not noticed.

--- a/internal/node/mtgateway/endpoint_notices_test.go
+++ b/internal/node/mtgateway/endpoint_notices_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
+	"github.com/mangotack/mangotack/internal/core/mtreplication"
 	"github.com/mangotack/mangotack/internal/core/mtresponse"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
@@ -69,6 +70,57 @@
 	require.Len(t, sent, 3*maxNoticesPerMessage, "all notices are sent over time")
 }
 
+// An instance that starts must learn of all endpoints that have left, before it uses the list that names them.
+func TestWholeFeedCarriesAllNotices(t *testing.T) {
+	gateway := newTestGateway()
+	gateway.HandleChanges(newEndpointChanges(0, 1, true), time.Now())
+	for number := range 3 * maxNoticesPerMessage {
+		id := string(rune('a' + number))
+		gateway.registry.Put(mtregistry.Entry{ID: id}, time.Now())
+		gateway.registry.MarkLeaving(mtregistry.LeaveMark{ID: id}, time.Now())
+	}
+	changes, err := gateway.Whole(context.Background(), &peerv1.WholeRequest{
+		Feed: uint32(mtreplication.EndpointFeed),
+	})
+	require.NoError(t, err)
+	unpacked, err := decompressChanges(changes)
+	require.NoError(t, err)
+	require.Len(t, unpacked.GetMarks(), 3*maxNoticesPerMessage)
+}
+
+func TestBackoffNoticesPerMessageAreLimited(t *testing.T) {
+	gateway := newTestGateway()
+	now := time.Now()
+	for number := range 3 * maxNoticesPerMessage {
+		target := &mtscheduler.Endpoint{ID: string(rune('a' + number))}
+		target.ApplyBackoff(time.Minute, now)
+		gateway.targets[target.ID] = target
+	}
+	require.Len(t, gateway.EndpointNotices(now), maxNoticesPerMessage)
+}
+
+// A notice about an earlier process of an endpoint, or about an earlier record of it, says nothing about the one in use.
+func TestNoticesOfEarlierProcessesAndRecordsAreIgnored(t *testing.T) {
+	for name, c := range map[string]struct {
+		notice  *peerv1.Mark
+		leaving bool
+	}{
+		"earlier process": {&peerv1.Mark{Endpoint: "e", Born: 1}, false},
+		"earlier record":  {&peerv1.Mark{Endpoint: "e", Born: 2, Seq: 6}, false},
+		"this record":     {&peerv1.Mark{Endpoint: "e", Born: 2, Seq: 7}, true},
+		"this process":    {&peerv1.Mark{Endpoint: "e", Born: 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway := newTestGateway()
+			now := time.Now()
+			gateway.registry.Put(mtregistry.Entry{ID: "e", Born: 2, Seq: 7, Service: "menu", Slots: 1}, now)
+			gateway.refreshTargets(now)
+			gateway.ApplyEndpointNotices([]*peerv1.Mark{c.notice}, now)
+			require.Equal(t, c.leaving, gateway.targets["e"].Draining)
+		})
+	}
+}
+
 // emptyHeaderCodec reads and writes no headers.
 type emptyHeaderCodec struct{}
 
