--- a/internal/soak/mtsoak/endpoint.go
+++ b/internal/soak/mtsoak/endpoint.go
@@ -124,8 +124,8 @@
 	e.writeRecord()
 }
 
-// registerAgain writes the present state again.
-func (e *endpoint) registerAgain() {
+// reregister writes the present state again.
+func (e *endpoint) reregister() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.writeRecord()
--- a/internal/soak/mtsoak/faults.go
+++ b/internal/soak/mtsoak/faults.go
@@ -155,7 +155,7 @@
 	r.withFault("store", rewriteDelay, func() {}, func() {
 		r.republishNewest()
 		for _, e := range r.endpoints {
-			e.registerAgain()
+			e.reregister()
 		}
 	})
 }
