--- a/internal/core/mtscheduler/choose_endpoint.go
+++ b/internal/core/mtscheduler/choose_endpoint.go
@@ -168,7 +168,7 @@
 		!request.firstProbeAt.IsZero() && now.Sub(request.firstProbeAt) > maxSlowHostWait {
 		return false
 	}
-	expectedGain := float64(best.expected) * (1 - s.meanHostSlowdown.value/best.hostSlowdown)
+	expectedGain := float64(best.expected) * (1 - s.goodHostSlowdown.value/best.hostSlowdown)
 	return expectedGain > float64(hostSlowdownLifetime) &&
 		now.Add(hostSlowdownLifetime+best.expected).Before(request.Deadline)
 }
--- a/internal/core/mtscheduler/scheduler.go
+++ b/internal/core/mtscheduler/scheduler.go
@@ -63,8 +63,10 @@
 	queue          []*Request
 	routeEstimates map[string]*routeEstimate
 	curve          *concurrencyCurve
-	// meanHostSlowdown is the mean slowdown of the hosts, and meanResponseTime the mean response time of the endpoints.
+	// meanHostSlowdown is the mean slowdown of the hosts, goodHostSlowdown the one that a quarter of the reports are below,
+	// and meanResponseTime the mean response time of the endpoints.
 	meanHostSlowdown ewma
+	goodHostSlowdown quantile
 	meanResponseTime ewma
 	// onTimeRejectionRatio is the ratio, among the last requests that could meet their objective, of those that found
 	// no slot.
@@ -103,6 +105,11 @@
 			initialized: true,
 			weight:      hostSlowdownWeight,
 		},
+		goodHostSlowdown: quantile{
+			value:  1,
+			ratio:  goodHostRatio,
+			weight: hostSlowdownWeight,
+		},
 		meanResponseTime: ewma{
 			weight: responseTimeWeight,
 		},
@@ -286,6 +293,7 @@
 	// Reports within a short time are samples of the same state of the host, and slow hosts are probed more often.
 	if report.HostSlowdown > 0 && now.Sub(endpoint.reportedAt) > 2*hostSlowdownLifetime {
 		s.meanHostSlowdown.add(report.HostSlowdown)
+		s.goodHostSlowdown.add(report.HostSlowdown)
 	}
 	s.hasReports = true
 	s.lastReportAt = now
@@ -315,11 +323,17 @@
 	return s.probeRate > 0 && (s.hasReports || s.missingReports < minMissingReports)
 }
 
-// isSlowHost reports whether a slowdown is above that of a usual host of the service.
+// isSlowHost reports whether a slowdown is well above that of a good host of the service.
+//
+// A good host and not the mean is the measure: if some hosts are slow for long, the mean is so high that the others
+// would no longer count as slow when they are.
 func (s *Scheduler) isSlowHost(slowdown float64) bool {
-	return slowdown > max(maxNormalSlowdown, s.meanHostSlowdown.value)
+	return slowdown > maxNormalSlowdown*max(1, s.goodHostSlowdown.value)
 }
 
+// goodHostRatio is the ratio of the reported slowdowns that are below that of a good host.
+const goodHostRatio = 0.25
+
 // RecordFailedProbe records that an endpoint didn't answer a probe.
 func (s *Scheduler) RecordFailedProbe(endpoint *Endpoint, now time.Time) {
 	endpoint.recordFailedProbe(now)
--- a/internal/core/mtscheduler/simulation_test.go
+++ b/internal/core/mtscheduler/simulation_test.go
@@ -49,6 +49,8 @@
 	running         int
 	slowdown        float64
 	slowdownDrawnAt time.Time
+	// alwaysSlow is the slowdown of a host that stays slow, or 0.
+	alwaysSlow float64
 	// ignoresProbes is set while the endpoint leaves probes unanswered.
 	ignoresProbes bool
 }
@@ -129,6 +131,7 @@
 		if s.random.Float64() < simSlowHostRatio {
 			h.slowdown = simHostSlowdown
 		}
+		h.slowdown = max(h.slowdown, h.alwaysSlow)
 	}
 	return h.slowdown
 }
