--- a/internal/core/mtscheduler/admit.go
+++ b/internal/core/mtscheduler/admit.go
@@ -24,7 +24,7 @@
 	overloadRejectionRatio = 0.05
 	// waitSafetyFactor is the multiple of the expected wait that a request must be able to wait to be admitted: the
 	// expected wait is a mean, and requests that are more urgent may arrive meanwhile.
-	waitSafetyFactor = 2
+	waitSafetyFactor = 1.5
 	// reservedSlotRatio is the ratio of the slots that is reserved for requests that can still meet their objective.
 	reservedSlotRatio = 0.2
 )
@@ -86,9 +86,10 @@
 	}
 	wait := time.Duration(0)
 	if ahead >= capacity.free {
-		wait = s.estimateWait(request, ahead-capacity.free+1, capacity.slots, now)
+		// A slot on a slow host does not become free in time, so it is not waited for.
+		wait = s.estimateWait(request, ahead-capacity.free+1, max(1, capacity.fastSlots), now)
 	}
-	if s.canMeetObjective(request, waitSafetyFactor*wait, capacity, now) {
+	if s.canMeetObjective(request, time.Duration(waitSafetyFactor*float64(wait)), capacity, now) {
 		s.onTimeRejectionRatio.add(0)
 		return nil
 	}
@@ -112,6 +113,8 @@
 	// hosts that are not known to be slow.
 	slots int
 	free  int
+	// fastSlots is the number of slots on hosts that are not known to be slow, free or not.
+	fastSlots int
 	// slowdownWhenFull is how many times longer a request takes when all slots are in use.
 	slowdownWhenFull float64
 }
@@ -136,6 +139,7 @@
 		result.slowdownWhenFull = max(result.slowdownWhenFull, s.curve.slowdown(maxConcurrency, endpoint.Slots))
 		// A host whose last report was good is not known to be slow, whatever the age of the report.
 		if endpoint.hostSlowdown <= maxNormalSlowdown || !s.isSlowHost(endpoint.expectedHostSlowdown(1, now)) {
+			result.fastSlots += maxConcurrency
 			free += max(0, float64(maxConcurrency)-endpoint.expectedConcurrency(peerSlotRatio, now))
 		}
 	}
