--- a/internal/core/mtscheduler/load_test.go
+++ b/internal/core/mtscheduler/load_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// Two endpoints of five run on hosts that stay twelve times slower, and the load is half of what the others can serve.
+// Compared with the mean of the hosts, a host that is five times slower for a moment would count as good.
+func TestHostsThatStaySlowDoNotMakeOthersLookGood(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			sim := newSimulation(15, 2, seed, false)
+			sim.processingTime = 160 * time.Millisecond
+			sim.objective = 400 * time.Millisecond
+			sim.deadline = 2 * time.Second
+			for i, endpoint := range sim.scheduler.Endpoints() {
+				if i%5 < 2 {
+					sim.hosts[endpoint.ID].alwaysSlow = 12
+				}
+			}
+			sim.addArrivals(0, 20*time.Second, 40)
+			sim.run()
+			require.Greater(t, sim.ratio(3*time.Second, 18*time.Second, metObjective), 0.9)
+		})
+	}
+}
+
 // Callers that retry after a rejection are late already, and must not take the slots of requests that can meet their
 // objective.
 func TestRetriesDoNotDisplaceNewRequests(t *testing.T) {
