--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -72,17 +72,6 @@
 	resolved map[string]*net.UDPAddr
 	// loggedDead holds, by instance name, whether its death was logged.
 	loggedDead map[string]bool
-	// joinedAt is when this instance started or last discovered another one.
-	joinedAt time.Time
-}
-
-// settleTime is how long after the discovery of an instance messages go to all data centres alike: instances that have
-// just started, as after a restart of all, must find each other soon, whatever it costs.
-const settleTime = time.Second
-
-// isSettled reports whether no instance was discovered recently. The caller must hold mu.
-func (m *Mesh) isSettled(now time.Time) bool {
-	return now.Sub(m.joinedAt) >= settleTime
 }
 
 // NewMesh opens the UDP socket of an instance that knows only itself and its seeds.
@@ -110,9 +99,6 @@
 
 // Run sends and receives gossip until the context ends, then closes the socket.
 func (m *Mesh) Run(ctx context.Context) {
-	m.mu.Lock()
-	m.joinedAt = time.Now()
-	m.mu.Unlock()
 	go m.receive()
 	ticker := time.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
@@ -220,7 +206,7 @@
 	m.rounds++
 	hasRole := m.listener.CompleteRow(m.view.SelfRow(), now)
 	peers := m.peerRows(now)
-	m.orderPeers(peers, fanout, now)
+	mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, fanout, m.random)
 	addresses := m.addressesOf(peers)
 	selected := addresses[:min(len(addresses), fanout)]
 	message, err := m.encodeGossip(notices)
@@ -231,7 +217,7 @@
 			Rows:  []*peerv1.Row{proto.CloneOf(m.view.SelfRow())},
 			Marks: notices,
 		}
-		direct, relays = m.recipientsForAll(peers, now)
+		direct, relays = m.view.SelectRelays(peers, m.random, now)
 	}
 	if len(addresses) == 0 || m.rounds%seedRoundInterval == 0 {
 		selected = append(slices.Clone(selected), m.seedAddresses()...)
@@ -247,26 +233,6 @@
 	}
 }
 
-// orderPeers moves the rows of the peers that get the next gossip message to the front. The caller must hold mu.
-func (m *Mesh) orderPeers(peers []*peerv1.Row, count int, now time.Time) {
-	if m.isSettled(now) {
-		mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, count, m.random)
-		return
-	}
-	m.random.Shuffle(len(peers), func(i, j int) {
-		peers[i], peers[j] = peers[j], peers[i]
-	})
-}
-
-// recipientsForAll returns the peers that get a message for all instances directly, and those that forward it. The
-// caller must hold mu.
-func (m *Mesh) recipientsForAll(peers []*peerv1.Row, now time.Time) (direct, relays []*peerv1.Row) {
-	if m.isSettled(now) {
-		return m.view.SelectRelays(peers, m.random, now)
-	}
-	return peers, nil
-}
-
 // sendToAll sends a message to instances directly, and to relays, which forward it in their data centre.
 func (m *Mesh) sendToAll(message *peerv1.Gossip, direct, relays []*peerv1.Row) {
 	for _, recipients := range [][]*peerv1.Row{direct, relays} {
@@ -376,7 +342,7 @@
 // BroadcastChanges sends changes of a feed to all other instances.
 func (m *Mesh) BroadcastChanges(changes *peerv1.Changes, now time.Time) {
 	m.mu.Lock()
-	direct, relays := m.recipientsForAll(m.peerRows(now), now)
+	direct, relays := m.view.SelectRelays(m.peerRows(now), m.random, now)
 	m.mu.Unlock()
 	m.sendToAll(&peerv1.Gossip{
 		Changes: changes,
@@ -398,7 +364,7 @@
 	}
 	m.mu.Lock()
 	peers := m.peerRows(now)
-	m.orderPeers(peers, changesFanout, now)
+	mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, changesFanout, m.random)
 	addresses := m.addressesOf(peers[:min(len(peers), changesFanout)])
 	m.mu.Unlock()
 	m.send(message, addresses)
@@ -444,9 +410,6 @@
 	if rows := message.GetRows(); len(rows) > 0 {
 		m.mu.Lock()
 		joined := m.view.Merge(message, now)
-		if len(joined) > 0 {
-			m.joinedAt = now
-		}
 		m.mu.Unlock()
 		if len(joined) > 0 {
 			mtevent.MemberJoined.Log(m.logger, logrus.Fields{
