--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -205,59 +205,33 @@
 	m.mu.Lock()
 	m.rounds++
 	hasRole := m.listener.CompleteRow(m.view.SelfRow(), now)
-	peers := m.peerRows(now)
-	mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, fanout, m.random)
-	addresses := m.addressesOf(peers)
-	selected := addresses[:min(len(addresses), fanout)]
-	message, err := m.encodeGossip(notices)
-	var rowMessage *peerv1.Gossip
-	var direct, relays []*peerv1.Row
-	if hasRole || all {
-		rowMessage = &peerv1.Gossip{
-			Rows:  []*peerv1.Row{proto.CloneOf(m.view.SelfRow())},
-			Marks: notices,
-		}
-		direct, relays = m.view.SelectRelays(peers, m.random, now)
+	addresses := m.peerAddresses(now)
+	selected := addresses
+	if len(selected) > fanout {
+		m.random.Shuffle(len(selected), func(i, j int) {
+			selected[i], selected[j] = selected[j], selected[i]
+		})
+		selected = selected[:fanout]
 	}
+	message, err := m.encodeGossip(notices)
+	rowMessage, rowErr := proto.Marshal(&peerv1.Gossip{
+		Rows:  []*peerv1.Row{m.view.SelfRow()},
+		Marks: notices,
+	})
 	if len(addresses) == 0 || m.rounds%seedRoundInterval == 0 {
 		selected = append(slices.Clone(selected), m.seedAddresses()...)
 	}
 	m.mu.Unlock()
-	if err != nil {
+	if err := errors.Join(err, rowErr); err != nil {
 		m.logger.WithError(err).Debug("encoding a gossip message failed; it is not sent")
 		return
 	}
 	m.send(message, selected)
-	if rowMessage != nil {
-		m.sendToAll(rowMessage, direct, relays)
-	}
-}
-
-// sendToAll sends a message to instances directly, and to relays, which forward it in their data centre.
-func (m *Mesh) sendToAll(message *peerv1.Gossip, direct, relays []*peerv1.Row) {
-	for _, recipients := range [][]*peerv1.Row{direct, relays} {
-		encoded, err := proto.Marshal(message)
-		if err != nil {
-			m.logger.WithError(err).Debug("encoding a message for all instances failed; it is not sent")
-			return
-		}
-		m.mu.Lock()
-		addresses := m.addressesOf(recipients)
-		m.mu.Unlock()
-		m.send(encoded, addresses)
-		message.Forward = true
+	if hasRole || all {
+		m.send(rowMessage, addresses[min(len(addresses), fanout):])
 	}
 }
 
-// forward sends a message of an instance of another data centre to the other instances of this one.
-func (m *Mesh) forward(message *peerv1.Gossip, now time.Time) {
-	message.Forward = false
-	m.mu.Lock()
-	local, _ := m.view.SelectRelays(m.peerRows(now), m.random, now)
-	m.mu.Unlock()
-	m.sendToAll(message, local, nil)
-}
-
 // encodeGossip returns the next gossip message. The caller must hold mu.
 func (m *Mesh) encodeGossip(notices []*peerv1.Mark) ([]byte, error) {
 	gossip := m.view.GossipMessage(maxRowsPerMessage, maxHeartbeatsPerMessage, m.random)
@@ -280,18 +254,9 @@
 	m.send(message, []*net.UDPAddr{address})
 }
 
-// addressesOf returns the addresses of instances. The caller must hold mu.
-func (m *Mesh) addressesOf(rows []*peerv1.Row) []*net.UDPAddr {
+// peerAddresses returns the addresses of the other instances. The caller must hold mu.
+func (m *Mesh) peerAddresses(now time.Time) []*net.UDPAddr {
 	var addresses []*net.UDPAddr
-	for _, row := range rows {
-		addresses = append(addresses, m.resolveAddress(row.GetMesh()))
-	}
-	return addresses
-}
-
-// peerRows returns the rows of the other instances that messages are sent to. The caller must hold mu.
-func (m *Mesh) peerRows(now time.Time) []*peerv1.Row {
-	var peers []*peerv1.Row
 	for _, row := range m.view.Rows() {
 		if row.GetInstance() == m.view.SelfRow().GetInstance() {
 			continue
@@ -301,9 +266,9 @@
 			m.random.IntN(seedRoundInterval) > 0 {
 			continue
 		}
-		peers = append(peers, row)
+		addresses = append(addresses, m.resolveAddress(row.GetMesh()))
 	}
-	return peers
+	return addresses
 }
 
 func (m *Mesh) seedAddresses() []*net.UDPAddr {
@@ -341,12 +306,17 @@
 
 // BroadcastChanges sends changes of a feed to all other instances.
 func (m *Mesh) BroadcastChanges(changes *peerv1.Changes, now time.Time) {
+	message, err := proto.Marshal(&peerv1.Gossip{
+		Changes: changes,
+	})
+	if err != nil {
+		m.logger.WithError(err).Debug("encoding changes failed; they are not sent")
+		return
+	}
 	m.mu.Lock()
-	direct, relays := m.view.SelectRelays(m.peerRows(now), m.random, now)
+	addresses := m.peerAddresses(now)
 	m.mu.Unlock()
-	m.sendToAll(&peerv1.Gossip{
-		Changes: changes,
-	}, direct, relays)
+	m.send(message, addresses)
 }
 
 // changesFanout is the number of instances that each instance forwards larger changes to. With 5, some 7 of 1000
@@ -363,11 +333,12 @@
 		return
 	}
 	m.mu.Lock()
-	peers := m.peerRows(now)
-	mtmembership.OrderGossipPeers(m.view.SelfRow(), peers, changesFanout, m.random)
-	addresses := m.addressesOf(peers[:min(len(peers), changesFanout)])
+	addresses := m.peerAddresses(now)
+	m.random.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
 	m.mu.Unlock()
-	m.send(message, addresses)
+	m.send(message, addresses[:min(len(addresses), changesFanout)])
 }
 
 // AddSeeds adds addresses at which other instances may be reached and sends a gossip message, also to all seeds if one
@@ -404,9 +375,6 @@
 }
 
 func (m *Mesh) handleMessage(message *peerv1.Gossip, now time.Time) {
-	if message.GetForward() {
-		m.forward(message, now)
-	}
 	if rows := message.GetRows(); len(rows) > 0 {
 		m.mu.Lock()
 		joined := m.view.Merge(message, now)
--- a/internal/adapter/mtmesh/mesh_test.go
+++ b/internal/adapter/mtmesh/mesh_test.go
@@ -77,39 +77,6 @@
 	return mesh
 }
 
-// A message for all instances crosses to another data centre once or twice and is forwarded there.
-func TestMessageForAllIsForwardedInDataCentre(t *testing.T) {
-	sender := newTestMesh(t, 1)
-	var others []*Mesh
-	var rows []*peerv1.Row
-	for number := range 5 {
-		other := newTestMesh(t, 10+number)
-		other.view.SelfRow().Centre = "region-south-b"
-		others = append(others, other)
-		rows = append(rows, proto.CloneOf(other.view.SelfRow()))
-	}
-	now := time.Now()
-	for _, mesh := range append(others, sender) {
-		mesh.mu.Lock()
-		mesh.view.Merge(&peerv1.Gossip{Rows: rows}, now)
-		mesh.mu.Unlock()
-	}
-	sender.mu.Lock()
-	row := proto.CloneOf(sender.view.SelfRow())
-	sender.mu.Unlock()
-	sender.sendToAll(&peerv1.Gossip{
-		Rows: []*peerv1.Row{row},
-	}, nil, rows[:1])
-	for _, other := range others {
-		require.Eventually(t, func() bool {
-			other.mu.Lock()
-			defer other.mu.Unlock()
-			_, silence := other.view.InstanceState(row.GetInstance(), time.Now())
-			return silence < time.Minute
-		}, 30*time.Second, 5*time.Millisecond)
-	}
-}
-
 // Hundreds of instances start together and contact the same seed. The seed must reply to each directly: its gossip
 // message reaches only some of them, and an instance without a reply takes itself for the only one.
 func TestSeedRepliesToEachNewInstance(t *testing.T) {
