Events 247 and 248: an entry older than the one in use, a removal that lapses

An entry that was written before the one in use left no line, nor did a removal that lapses, nor an endpoint that is missing in the newest records. Ruled out: nothing by this commit; no decision changes. Change: both events are logged, and 242 also for endpoints missing in the newest records. Registry.RetainOnly is Missing, whose result the gateway removes one by one; its test asserts the same.

--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -171,6 +171,16 @@
 		Level:  logrus.WarnLevel,
 		Text:   "endpoint sent a Retry-After that can't be parsed; logged once per endpoint",
 	}
+	EndpointEntryOutdated = Event{
+		Number: 247,
+		Level:  logrus.WarnLevel,
+		Text:   "entry of an endpoint was written before the one in use",
+	}
+	EndpointLapsed = Event{
+		Number: 248,
+		Level:  logrus.InfoLevel,
+		Text:   "entry of an endpoint is missing after an interruption of the store; the endpoint stays in use until it has had time to register again",
+	}
 	EndpointRemoved = Event{
 		Number: 242,
 		Level:  logrus.InfoLevel,
@@ -285,6 +295,8 @@
 	EndpointLeaving,
 	EndpointPaused,
 	RetryAfterUnparsable,
+	EndpointEntryOutdated,
+	EndpointLapsed,
 	MemberJoined,
 	InstancePaused,
 	MemberConsideredDead,
--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -141,7 +141,7 @@
 		found = &registration{}
 		r.entries[entry.ID] = found
 		r.applyRemoval(entry, now)
-	} else if found.era < r.era && isOlder(entry, found.entry) {
+	} else if found.era < r.era && entry.IsOlderThan(found.entry) {
 		r.keepNewer(found, entry, now)
 		return
 	} else if found.entry.Born != entry.Born {
@@ -155,11 +155,11 @@
 	found.lapsedAt = time.Time{}
 }
 
-// isOlder reports whether an entry was written before another entry of the same endpoint. A process that drains does not
-// become ready again.
-func isOlder(entry, other Entry) bool {
-	order := cmp.Or(cmp.Compare(entry.Born, other.Born), cmp.Compare(entry.Seq, other.Seq))
-	return order < 0 || order == 0 && other.Draining && !entry.Draining
+// IsOlderThan reports whether an entry was written before another entry of the same endpoint. A process that drains does
+// not become ready again.
+func (e Entry) IsOlderThan(other Entry) bool {
+	order := cmp.Or(cmp.Compare(e.Born, other.Born), cmp.Compare(e.Seq, other.Seq))
+	return order < 0 || order == 0 && other.Draining && !e.Draining
 }
 
 // keepNewer handles an older entry that the store lists after it was restored. The entry in use stays; if it is of a
@@ -235,13 +235,16 @@
 	}
 }
 
-// RetainOnly calls Remove for all entries but those with one of the IDs.
-func (r *Registry) RetainOnly(ids map[string]bool, now time.Time) {
+// Missing returns the IDs of the entries, lapsed ones included, that are not in a set, sorted.
+func (r *Registry) Missing(present map[string]bool) []string {
+	var missing []string
 	for id := range r.entries {
-		if !ids[id] {
-			r.Remove(id, now)
+		if !present[id] {
+			missing = append(missing, id)
 		}
 	}
+	slices.Sort(missing)
+	return missing
 }
 
 func processOf(entry Entry) process {
@@ -327,6 +330,15 @@
 	return expired
 }
 
+// EntryInUse returns the entry of an endpoint, lapsed or not.
+func (r *Registry) EntryInUse(id string) (entry Entry, found bool) {
+	registered := r.entries[id]
+	if registered == nil {
+		return Entry{}, false
+	}
+	return registered.entry, true
+}
+
 // Has reports whether the registry holds an entry with an ID, lapsed entries included.
 func (r *Registry) Has(id string) bool {
 	return r.entries[id] != nil
--- a/internal/core/mtregistry/registry_test.go
+++ b/internal/core/mtregistry/registry_test.go
@@ -54,12 +54,13 @@
 	require.True(t, registry.Remove("one", t0.Add(time.Second)), "its own entry says that it leaves")
 }
 
-func TestRetainRemovesMissingEntries(t *testing.T) {
+func TestMissingEntriesAreRemoved(t *testing.T) {
 	registry := newRegistryWithEntry("one")
 	registry.Put(Entry{
 		ID: "two",
 	}, t0)
-	registry.RetainOnly(map[string]bool{"two": true}, t0)
+	require.Equal(t, []string{"one"}, registry.Missing(map[string]bool{"two": true}))
+	registry.Remove("one", t0)
 	require.False(t, registry.Has("one"))
 	require.Equal(t, 1, registry.Len())
 }
--- a/internal/core/mtregistry/restored_store_test.go
+++ b/internal/core/mtregistry/restored_store_test.go
@@ -34,7 +34,9 @@
 		ids[entry.ID] = true
 		registry.Put(entry, now)
 	}
-	registry.RetainOnly(ids, now)
+	for _, id := range registry.Missing(ids) {
+		registry.Remove(id, now)
+	}
 }
 
 func TestEndpointMissingInTheCopyStaysUntilItMayRegisterAgain(t *testing.T) {
--- a/internal/node/mtgateway/feed_changes.go
+++ b/internal/node/mtgateway/feed_changes.go
@@ -103,10 +103,13 @@
 			continue
 		}
 		presentIDs[entry.ID] = true
+		g.logOutdatedEntry(entry)
 		g.registry.Put(entry, now)
 	}
 	if batch.Snapshot {
-		g.registry.RetainOnly(presentIDs, now)
+		for _, id := range g.registry.Missing(presentIDs) {
+			g.removeEndpoint(id, now)
+		}
 	}
 	g.refreshTargets(now)
 	if batch.Snapshot {
@@ -114,11 +117,35 @@
 	}
 }
 
+// logOutdatedEntry logs an entry that was written before the one in use; the caller holds g.mu.
+func (g *Gateway) logOutdatedEntry(entry mtregistry.Entry) {
+	inUse, found := g.registry.EntryInUse(entry.ID)
+	if !found || !entry.IsOlderThan(inUse) {
+		return
+	}
+	mtevent.EndpointEntryOutdated.Log(g.logger, logrus.Fields{
+		"endpoint": entry.ID,
+		"born":     entry.Born,
+		"seq":      entry.Seq,
+		"draining": entry.Draining,
+		"inUse": logrus.Fields{
+			"born":     inUse.Born,
+			"seq":      inUse.Seq,
+			"draining": inUse.Draining,
+		},
+	})
+}
+
 func (g *Gateway) removeEndpoint(id string, now time.Time) {
-	if g.registry.Remove(id, now) {
+	switch {
+	case g.registry.Remove(id, now):
 		mtevent.EndpointRemoved.Log(g.logger, logrus.Fields{
 			"endpoint": id,
 		})
+	case g.registry.Has(id):
+		mtevent.EndpointLapsed.Log(g.logger, logrus.Fields{
+			"endpoint": id,
+		})
 	}
 }
 
