An interruption of the store is a time without contact of any instance, and ends with the first contact

What endpoints saw (DRAIN): requests up to 2.4 s after their entry was removed while the store was reachable, bound 2 s. Cause: class 'a local symptom taken for a global state'. Each failed read of one instance opened a window of 2.2 s in which a removal learnt from anyone counted as an expiry; the entry then stayed for 2.2 s after its removal (more than drain_ms), plus up to 250 ms until the next check, and for as long as the reads of this instance failed. Ruled out: a shorter window alone (a listener whose read hangs notices the store's return seconds late, up to its backoff of 4 to 6 s). Change: the follower knows when the feed was last known to be complete, by its own reads or by any peer's. A gap of more than 2 s is an interruption; it ends at the moment that ends the gap, and a missing entry is gone 2.2 s after that, whenever it was removed. A compacted history is no interruption in a store with eras, since a restore shows by its era. Why it works: all stable acknowledgements are given 3 s after a real interruption, when no window is open; without one there is no window.

--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -4,7 +4,7 @@
 //
 //	removed, store reachable                  -> gone at once
 //	removed, store interrupted until recently -> lapsed -- registered again --> present
-//	                                                    \- still missing after reregisterTimeout --> gone
+//	                                                    \- still missing reregisterTimeout after the interruption --> gone
 //
 // A store that is restored from a copy begins a new era. The copy may list endpoints that have left since, and older
 // entries of those that have not. Endpoints count their entries, so an entry of the copy is recognized as old:
@@ -103,8 +103,8 @@
 	warmAt time.Time
 	// isStoredDraining is set when the entry in the store says that the endpoint drains.
 	isStoredDraining bool
-	// lapsedAt is when the entry lapsed; zero while it is present.
-	lapsedAt time.Time
+	// isLapsed is set while the entry is missing in the store.
+	isLapsed bool
 }
 
 // NewRegistry returns a registry without entries.
@@ -128,9 +128,11 @@
 	}
 }
 
-// StoreInterrupted records that the store was not reachable, or its data not complete, at now.
-func (r *Registry) StoreInterrupted(now time.Time) {
-	r.unsteadyUntil = now.Add(reregisterTimeout)
+// StoreInterrupted records that the store was not reachable, or its data not complete, until the given time.
+func (r *Registry) StoreInterrupted(until time.Time) {
+	if unsteadyUntil := until.Add(reregisterTimeout); unsteadyUntil.After(r.unsteadyUntil) {
+		r.unsteadyUntil = unsteadyUntil
+	}
 }
 
 // Put adds an entry or replaces the one with its ID. The endpoint drains if the entry says so or if it is marked as
@@ -152,7 +154,7 @@
 	found.isStoredDraining = entry.Draining
 	found.entry.Draining = entry.Draining || r.isMarked(entry)
 	found.warmAt = now.Add(entry.WarmUp)
-	found.lapsedAt = time.Time{}
+	found.isLapsed = false
 }
 
 // IsOlderThan reports whether an entry was written before another entry of the same endpoint. A process that drains does
@@ -170,7 +172,7 @@
 		r.Remove(older.ID, now)
 		return
 	}
-	found.lapsedAt = time.Time{}
+	found.isLapsed = false
 	found.isStoredDraining = older.Draining
 	if found.entry.Draining {
 		r.MarkLeaving(LeaveMark{
@@ -212,9 +214,7 @@
 		return false
 	}
 	if now.Before(r.unsteadyUntil) && !found.entry.Draining {
-		if found.lapsedAt.IsZero() {
-			found.lapsedAt = now
-		}
+		found.isLapsed = true
 		return false
 	}
 	r.delete(found, now)
@@ -318,11 +318,12 @@
 	}
 }
 
-// ExpireLapsed removes the lapsed entries that were not registered again within reregisterTimeout, and returns their IDs.
+// ExpireLapsed removes the lapsed entries that were not registered again within reregisterTimeout of the end of the
+// interruption, and returns their IDs.
 func (r *Registry) ExpireLapsed(now time.Time) []string {
 	var expired []string
 	for id, found := range r.entries {
-		if !found.lapsedAt.IsZero() && now.After(r.unsteadyUntil) && now.Sub(found.lapsedAt) > reregisterTimeout {
+		if found.isLapsed && now.After(r.unsteadyUntil) {
 			r.delete(found, now)
 			expired = append(expired, id)
 		}
--- a/internal/core/mtreplication/follower.go
+++ b/internal/core/mtreplication/follower.go
@@ -53,6 +53,10 @@
 	maxReaderBackoff = 900 * time.Millisecond
 	// unreachableFailures is the number of consecutive failures from which on the store counts as unreachable.
 	unreachableFailures = 2
+	// minInterruption is the shortest time without contact to the store after which entries of endpoints may have
+	// expired. It is longer than another instance takes to replace the reader, and shorter than two heartbeats of an
+	// endpoint, whose entry expires after three.
+	minInterruption = 2 * time.Second
 	// maxSleep is the longest time until Next is called again.
 	maxSleep = 250 * time.Millisecond
 )
@@ -110,6 +114,8 @@
 	confirmedAt time.Time
 	// peerConfirmedAt is the latest time at which a peer knew position to be the end of the feed.
 	peerConfirmedAt time.Time
+	// resumedAt is the first time at which position was known to be the end of the feed after an interruption.
+	resumedAt time.Time
 	// nextRead is the time before which no read is made.
 	nextRead time.Time
 	backoff  time.Duration
@@ -329,9 +335,19 @@
 
 // confirm records a time at which the position was known to be the end of the feed.
 func (f *Follower) confirm(moment time.Time) {
-	if moment.After(f.confirmedAt) {
-		f.confirmedAt = moment
+	if !moment.After(f.confirmedAt) {
+		return
+	}
+	if !f.confirmedAt.IsZero() && moment.Sub(f.confirmedAt) > minInterruption {
+		f.resumedAt = moment
 	}
+	f.confirmedAt = moment
+}
+
+// ResumedAt returns the end of the last interruption, in which no instance that this one heard from reached the store, or
+// the zero time. Failed reads of this instance alone are no interruption.
+func (f *Follower) ResumedAt() time.Time {
+	return f.resumedAt
 }
 
 // Position returns the current position, and whether the feed was read or received.
--- a/internal/node/mtgateway/feed_changes.go
+++ b/internal/node/mtgateway/feed_changes.go
@@ -86,6 +86,9 @@
 func (g *Gateway) applyEndpoints(batch mtreplication.Batch, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if resumedAt := g.endpointFeedResumedAt(); !resumedAt.IsZero() {
+		g.registry.StoreInterrupted(resumedAt)
+	}
 	g.registry.BeginEra(batch.Era, now)
 	presentIDs := map[string]bool{}
 	for _, change := range batch.Changes {
@@ -149,8 +152,15 @@
 	}
 }
 
-// recordStoreInterruption records that the store could not be read, so that missing endpoints may register again.
-func (g *Gateway) recordStoreInterruption(now time.Time) {
+// endpointFeedResumedAt returns the end of the last interruption of the endpoints' feed, or the zero time.
+func (g *Gateway) endpointFeedResumedAt() time.Time {
+	g.feeds.mu.Lock()
+	defer g.feeds.mu.Unlock()
+	return g.feeds.byNumber[mtreplication.EndpointFeed].follower.ResumedAt()
+}
+
+// recordIncompleteStore records that the store may lack entries, so that missing endpoints may register again.
+func (g *Gateway) recordIncompleteStore(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.StoreInterrupted(now)
--- a/internal/node/mtgateway/feeds.go
+++ b/internal/node/mtgateway/feeds.go
@@ -220,8 +220,12 @@
 	if errors.Is(err, mtreplication.ErrNotRetained) {
 		g.feeds.mu.Lock()
 		f.follower.RequireNewest()
+		position, _ := f.follower.Position()
 		g.feeds.mu.Unlock()
-		g.recordStoreInterruption(now)
+		if position.Era == 0 {
+			// A store without eras may have been restored from a copy.
+			g.recordIncompleteStore(now)
+		}
 		mtevent.StoreRecordsMissing.Log(g.logger, logrus.Fields{
 			"feed": f.number.String(),
 		})
@@ -232,7 +236,6 @@
 	failures := f.follower.ConsecutiveFailures()
 	age := f.follower.Age(now)
 	g.feeds.mu.Unlock()
-	g.recordStoreInterruption(now)
 	if failures == 1 {
 		mtevent.StoreUnreadable.Log(g.logger, logrus.Fields{
 			"feed":  f.number.String(),
