Failing tests: an entry that is stored late makes a draining endpoint usable again

Cause: Registry.Put compares counts only across eras of the store; within one era the entry that was stored last wins, though the pages say that a write without an answer may be executed seconds later.

--- /dev/null
+++ b/internal/core/mtregistry/late_entry_test.go
@@ -0,0 +1,54 @@
+package mtregistry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newDrainingEntry returns the entry number seq of process 1 of an endpoint, which drains.
+func newDrainingEntry(id string, seq int64) Entry {
+	entry := newEntry(id, seq)
+	entry.Draining = true
+	return entry
+}
+
+// The store may execute a write of an endpoint seconds after it was sent, and after a later one.
+func TestLateEntryDoesNotEndDraining(t *testing.T) {
+	registry := newRegistryInEra(newDrainingEntry("one", 5))
+	for _, seq := range []int64{3, 5} {
+		registry.Put(newEntry("one", seq), t0.Add(time.Second))
+		require.True(t, isDraining(registry, "one"))
+	}
+	require.Equal(t, []LeaveMark{{ID: "one", Born: 1, ThroughSeq: 5}}, registry.UnpublishedLeaveMarks(),
+		"instances that start now must learn it")
+	registry.Put(newEntry("one", 6), t0.Add(2*time.Second))
+	require.False(t, isDraining(registry, "one"), "the process has written a newer entry")
+}
+
+func TestLateEntryDoesNotBringBackDrainedEndpoint(t *testing.T) {
+	registry := newRegistryInEra(newDrainingEntry("one", 5))
+	require.True(t, registry.Remove("one", t0.Add(time.Second)))
+	registry.Put(newEntry("one", 3), t0.Add(2*time.Second))
+	require.True(t, isDraining(registry, "one"))
+	require.Len(t, registry.UnpublishedLeaveMarks(), 1)
+}
+
+func TestLateEntryDoesNotBringBackRemovedEndpoint(t *testing.T) {
+	registry := newRegistryInEra(newEntry("one", 5))
+	require.True(t, registry.Remove("one", t0.Add(time.Second)))
+	registry.Put(newEntry("one", 4), t0.Add(2*time.Second))
+	require.True(t, isDraining(registry, "one"))
+}
+
+func TestLateEntryDoesNotBringBackEarlierProcess(t *testing.T) {
+	registry := newRegistryInEra(newEntry("one", 9))
+	replacement := newEntry("one", 1)
+	replacement.Born = 2
+	registry.Put(replacement, t0.Add(time.Second))
+	registry.MarkLeaving(LeaveMark{ID: "one", Born: 2}, t0.Add(time.Second))
+	registry.Put(newEntry("one", 8), t0.Add(2*time.Second))
+	require.True(t, isDraining(registry, "one"), "requests would reach the process that leaves")
+	require.True(t, registry.IsLeaving("one", 2))
+}
