Entries of an endpoint are ordered by its own count, also within an era of the store

What endpoints would see (DRAIN): requests after they had begun to drain, as long as an entry stands that they had written before. Cause: class 'order of arrival taken for order of writing'. Only entries of a new era were compared by born and seq. Ruled out: a process that drains never being ready again whatever its count (a later count is its own word). Change: Put keeps the entry that was written later, in every era; a removal is remembered with its count, and a draining process does not return by an entry of before. The mark travels with the rows as after a restore. TestMarkAppliesToOneProcessOnly put the entry of process 1 after that of process 2 into one registry, which now keeps process 2; it uses a registry for each, with the same assertions.

--- a/internal/core/mtregistry/late_entry_test.go
+++ b/internal/core/mtregistry/late_entry_test.go
@@ -52,3 +52,29 @@
 	require.True(t, isDraining(registry, "one"), "requests would reach the process that leaves")
 	require.True(t, registry.IsLeaving("one", 2))
 }
+
+// The clock of the endpoint was set back before it started again.
+func TestProcessWithEarlierStartTimeIsUsedOnceTheOtherHasLapsed(t *testing.T) {
+	later := newEntry("one", 9)
+	later.Born = 2
+	registry := newRegistryInEra(later)
+	restarted := t0.Add(time.Minute)
+	registry.Put(newEntry("one", 1), restarted)
+	require.Empty(t, registry.ExpireLapsed(restarted.Add(reregisterTimeout)))
+	require.Equal(t, []string{"one"}, registry.ExpireLapsed(restarted.Add(reregisterTimeout+time.Millisecond)))
+	entry, found := registry.EntryInUse("one")
+	require.True(t, found)
+	require.Equal(t, newEntry("one", 1), entry)
+}
+
+func TestLateEntryOfEarlierProcessIsDroppedOnceTheLaterOneRegistersAgain(t *testing.T) {
+	later := newEntry("one", 9)
+	later.Born = 2
+	registry := newRegistryInEra(later)
+	registry.Put(newEntry("one", 1), t0.Add(time.Second))
+	later.Seq = 10
+	registry.Put(later, t0.Add(2*time.Second))
+	require.Empty(t, registry.ExpireLapsed(t0.Add(time.Hour)))
+	entry, _ := registry.EntryInUse("one")
+	require.Equal(t, later, entry)
+}
--- a/internal/core/mtregistry/leave_mark_test.go
+++ b/internal/core/mtregistry/leave_mark_test.go
@@ -30,13 +30,13 @@
 }
 
 func TestMarkAppliesToOneProcessOnly(t *testing.T) {
-	registry := NewRegistry()
-	registry.MarkLeaving(LeaveMark{ID: "one", Born: 1}, t0)
-	registry.Put(Entry{ID: "one", Born: 2}, t0)
-	require.False(t, isDraining(registry, "one"))
-	registry.Put(Entry{ID: "one", Born: 1}, t0)
-	require.True(t, isDraining(registry, "one"), "the mark came before the entry")
-	require.False(t, isDraining(registry, "two"))
+	for born, isLeaving := range map[int64]bool{1: true, 2: false} {
+		registry := NewRegistry()
+		registry.MarkLeaving(LeaveMark{ID: "one", Born: 1}, t0)
+		registry.Put(Entry{ID: "one", Born: born}, t0)
+		require.Equal(t, isLeaving, isDraining(registry, "one"), "the mark came before the entry of process %d", born)
+		require.False(t, isDraining(registry, "two"))
+	}
 }
 
 func TestMarksOmitsEntriesThatDrainInTheStore(t *testing.T) {
--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -6,8 +6,14 @@
 //	removed, store interrupted until recently -> lapsed -- registered again --> present
 //	                                                    \- still missing reregisterTimeout after the interruption --> gone
 //
+// Endpoints count their entries. The store may execute a write seconds after it was sent, so an entry that was written
+// before the one in use does not replace it:
+//
+//	older count of the same process -> the entry in use stays
+//	earlier process                 -> the entry in use stays until its process has had time to register again
+//
 // A store that is restored from a copy begins a new era. The copy may list endpoints that have left since, and older
-// entries of those that have not. Endpoints count their entries, so an entry of the copy is recognized as old:
+// entries of those that have not:
 //
 //	missing in the copy                                 -> lapsed, as above
 //	listed with an older count than the entry in use    -> the entry in use stays
@@ -78,9 +84,16 @@
 
 // removal records that the entry of a process was removed.
 type removal struct {
-	lastSeq int64
-	era     uint64
-	at      time.Time
+	lastSeq  int64
+	draining bool
+	era      uint64
+	at       time.Time
+}
+
+// follows reports whether the removal came after an entry of the process was written. An entry with the same count may be listed
+// again after it lapsed.
+func (m removal) follows(entry Entry, era uint64) bool {
+	return entry.Seq < m.lastSeq || entry.Seq == m.lastSeq && (m.draining || m.era < era)
 }
 
 // Registry holds the entries of all endpoints by ID. It is not safe for concurrent use.
@@ -103,8 +116,10 @@
 	warmAt time.Time
 	// isStoredDraining is set when the entry in the store says that the endpoint drains.
 	isStoredDraining bool
-	// isLapsed is set while the entry is missing in the store.
-	isLapsed bool
+	// expiresAt is when a lapsed entry expires at the earliest; zero while the entry is present in the store.
+	expiresAt time.Time
+	// withheld is an entry of an earlier process that the store lists in place of this one, or nil.
+	withheld *Entry
 }
 
 // NewRegistry returns a registry without entries.
@@ -135,15 +150,15 @@
 	}
 }
 
-// Put adds an entry or replaces the one with its ID. The endpoint drains if the entry says so or if it is marked as
-// leaving. An entry of a new era that is older than the entry in use doesn't replace it.
+// Put adds an entry or replaces the one with its ID, unless that one was written later. The endpoint drains if the entry
+// says so or if it is marked as leaving.
 func (r *Registry) Put(entry Entry, now time.Time) {
 	found := r.entries[entry.ID]
 	if found == nil {
 		found = &registration{}
 		r.entries[entry.ID] = found
 		r.applyRemoval(entry, now)
-	} else if found.era < r.era && entry.IsOlderThan(found.entry) {
+	} else if entry.IsOlderThan(found.entry) {
 		r.keepNewer(found, entry, now)
 		return
 	} else if found.entry.Born != entry.Born {
@@ -154,7 +169,8 @@
 	found.isStoredDraining = entry.Draining
 	found.entry.Draining = entry.Draining || r.isMarked(entry)
 	found.warmAt = now.Add(entry.WarmUp)
-	found.isLapsed = false
+	found.expiresAt = time.Time{}
+	found.withheld = nil
 }
 
 // IsOlderThan reports whether an entry was written before another entry of the same endpoint. A process that drains does
@@ -164,15 +180,21 @@
 	return order < 0 || order == 0 && other.Draining && !e.Draining
 }
 
-// keepNewer handles an older entry that the store lists after it was restored. The entry in use stays; if it is of a
-// later process, the store does not list that one, and it lapses unless it registers again.
+// keepNewer handles an older entry that the store lists. The entry in use stays; if it is of a later process, the store
+// does not list that one, and it lapses unless it registers again.
 func (r *Registry) keepNewer(found *registration, older Entry, now time.Time) {
-	if older.Born != found.entry.Born {
+	if older.Born != found.entry.Born && found.era < r.era {
 		r.recordRemoval(older, found.era, now)
 		r.Remove(older.ID, now)
 		return
 	}
-	found.isLapsed = false
+	if older.Born != found.entry.Born {
+		// The clock of the endpoint may also have been set back before it started again.
+		found.expiresAt = now.Add(reregisterTimeout)
+		found.withheld = &older
+		return
+	}
+	found.expiresAt = time.Time{}
 	found.isStoredDraining = older.Draining
 	if found.entry.Draining {
 		r.MarkLeaving(LeaveMark{
@@ -183,7 +205,7 @@
 	}
 }
 
-// applyRemoval marks a process as leaving if its entry was removed in an earlier era and this entry is not newer.
+// applyRemoval marks a process as leaving if its entry was removed and this entry was written before.
 func (r *Registry) applyRemoval(entry Entry, now time.Time) {
 	key := processOf(entry)
 	removed, wasRemoved := r.removals[key]
@@ -191,7 +213,7 @@
 		return
 	}
 	delete(r.removals, key)
-	if removed.era < r.era && entry.Seq <= removed.lastSeq {
+	if removed.follows(entry, r.era) {
 		r.MarkLeaving(LeaveMark{
 			ID:         entry.ID,
 			Born:       entry.Born,
@@ -214,7 +236,9 @@
 		return false
 	}
 	if now.Before(r.unsteadyUntil) && !found.entry.Draining {
-		found.isLapsed = true
+		if found.expiresAt.IsZero() {
+			found.expiresAt = now
+		}
 		return false
 	}
 	r.delete(found, now)
@@ -229,9 +253,10 @@
 
 func (r *Registry) recordRemoval(entry Entry, era uint64, now time.Time) {
 	r.removals[processOf(entry)] = removal{
-		lastSeq: entry.Seq,
-		era:     era,
-		at:      now,
+		lastSeq:  entry.Seq,
+		draining: entry.Draining,
+		era:      era,
+		at:       now,
 	}
 }
 
@@ -319,14 +344,22 @@
 }
 
 // ExpireLapsed removes the lapsed entries that were not registered again within reregisterTimeout of the end of the
-// interruption, and returns their IDs.
+// interruption, and returns their IDs. Entries that were withheld take their places.
 func (r *Registry) ExpireLapsed(now time.Time) []string {
 	var expired []string
+	var withheld []Entry
 	for id, found := range r.entries {
-		if found.isLapsed && now.After(r.unsteadyUntil) {
-			r.delete(found, now)
-			expired = append(expired, id)
+		if found.expiresAt.IsZero() || !now.After(found.expiresAt) || !now.After(r.unsteadyUntil) {
+			continue
 		}
+		r.delete(found, now)
+		expired = append(expired, id)
+		if found.withheld != nil {
+			withheld = append(withheld, *found.withheld)
+		}
+	}
+	for _, entry := range withheld {
+		r.Put(entry, now)
 	}
 	return expired
 }
