Failing tests: a request on its way is sent to a removed endpoint; an entry without a start time expires an endpoint

What endpoints would see (DRAIN): a request that was assigned before the removal of their entry and sent up to 2 s after it, which is the whole of drain_ms; and the entry of another writer, without born, in place of a process that drains. Ruled out: requests after an announced leave; their grants are checked (TestGrantInvalidWhenEndpointLeavesOrBacksOff holds).

--- a/internal/core/mtregistry/late_entry_test.go
+++ b/internal/core/mtregistry/late_entry_test.go
@@ -78,3 +78,11 @@
 	entry, _ := registry.EntryInUse("one")
 	require.Equal(t, later, entry)
 }
+
+// The start time is missing, so another writer has written the entry.
+func TestEntryWithoutStartTimeDoesNotReplaceEndpoint(t *testing.T) {
+	registry := newRegistryInEra(newDrainingEntry("one", 5))
+	registry.Put(Entry{ID: "one", Seq: 9}, t0)
+	require.True(t, registry.IsLeaving("one", 1))
+	require.Empty(t, registry.ExpireLapsed(t0.Add(time.Hour)))
+}
--- a/internal/node/mtgateway/endpoint_notices_test.go
+++ b/internal/node/mtgateway/endpoint_notices_test.go
@@ -50,6 +50,37 @@
 	}
 }
 
+// The entry of the endpoint is removed after the endpoint was chosen and before the request is sent, for example while
+// the connection is being opened.
+func TestGrantInvalidWhenEndpointIsRemoved(t *testing.T) {
+	now := time.Now()
+	for name, update := range map[string]func(gateway *Gateway){
+		"removed": func(gateway *Gateway) {
+			gateway.HandleChanges(newEndpointRemoval(1), now)
+		},
+		"missing in the newest records": func(gateway *Gateway) {
+			gateway.HandleChanges(&peerv1.Changes{
+				Feed:  uint32(mtreplication.EndpointFeed),
+				To:    2,
+				Whole: true,
+			}, now)
+		},
+		"replaced by a later process": func(gateway *Gateway) {
+			gateway.registry.Put(mtregistry.Entry{ID: "e-1", Born: 1, Service: "menu"}, now)
+			gateway.refreshTargets(now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway := newTestGateway()
+			gateway.HandleChanges(newEndpointChanges(0, 1, true), now)
+			grant := mtscheduler.Assignment{Endpoint: gateway.targets["e-1"]}
+			require.True(t, gateway.isGrantValid(grant, now, now))
+			update(gateway)
+			require.False(t, gateway.isGrantValid(grant, now, now))
+		})
+	}
+}
+
 func TestEndpointNoticesPerMessageAreLimited(t *testing.T) {
 	gateway := newTestGateway()
 	now := time.Now()
