A request that is assigned to an endpoint is not sent once the entry of the endpoint is removed or replaced

What endpoints would see (DRAIN): a request up to 2 s after the removal, on a connection that was being opened meanwhile. Cause: class 'check of a copy'. Grants hold their own pointer to the target; a removal deleted the target from the table and left the copy usable, so that the check before sending passed until the grant was 2 s old. Change: a target that leaves the table is marked as draining under the same lock that the check takes. The attempt ends as not sent and is placed again. Conclusion: all ways by which an endpoint leaves now end the grants of it.

--- a/internal/node/mtgateway/feed_changes.go
+++ b/internal/node/mtgateway/feed_changes.go
@@ -203,7 +203,7 @@
 	}
 	for id := range g.targets {
 		if !g.registry.Has(id) {
-			g.endpointPool.CloseIdle(g.targets[id].Address)
+			g.retireTarget(g.targets[id])
 			delete(g.targets, id)
 			delete(g.loggedInvalidRetryAfter, id)
 		}
@@ -225,7 +225,7 @@
 		return existing, false
 	}
 	if existing != nil {
-		g.endpointPool.CloseIdle(existing.Address)
+		g.retireTarget(existing)
 	}
 	target := &mtscheduler.Endpoint{
 		ID:      entry.ID,
@@ -237,6 +237,13 @@
 	return target, true
 }
 
+// retireTarget ends the use of a target that is no longer registered, also by requests that are assigned to it and not
+// sent yet; the caller holds g.mu.
+func (g *Gateway) retireTarget(target *mtscheduler.Endpoint) {
+	target.Draining = true
+	g.endpointPool.CloseIdle(target.Address)
+}
+
 // placerFor returns the placer of a service, which it creates on first use; the caller holds g.mu.
 func (g *Gateway) placerFor(service string) *mtscheduler.Scheduler {
 	placer := g.placers[service]
