An entry without a start time does not replace an endpoint that states one

What endpoints would see (DRAIN): the entry of another writer stands for a process that drains, and after 2.2 s is used in its place. Cause: class 'default value taken for data'. A missing born decodes as 0, an earlier process. Ruled out: refusing such entries altogether; a platform without born would then have no endpoint at all. Change: such an entry is ignored where a process with a start time is known, as unreadable ones are.

--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -188,6 +188,10 @@
 		r.Remove(older.ID, now)
 		return
 	}
+	if older.Born == 0 && found.entry.Born != 0 {
+		// An endpoint always states its start time, so this entry is of another writer.
+		return
+	}
 	if older.Born != found.entry.Born {
 		// The clock of the endpoint may also have been set back before it started again.
 		found.expiresAt = now.Add(reregisterTimeout)
