--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -174,7 +174,7 @@
 	EndpointEntryOutdated = Event{
 		Number: 247,
 		Level:  logrus.WarnLevel,
-		Text:   "entry of an endpoint was written before the one in use",
+		Text:   "entry of an endpoint was written before the one in use, which stays",
 	}
 	EndpointLapsed = Event{
 		Number: 248,
