Server-Limit is parsed, and events 249 and 251 tell what an instance was told

Change: the header is parsed as a decimal number without a sign or an exponent; a limit that is new or has changed is logged, an unreadable one once per endpoint. No decision uses it yet. Before: no line.

--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -181,6 +181,21 @@
 		Level:  logrus.InfoLevel,
 		Text:   "entry of an endpoint is missing after an interruption of the store; the endpoint stays in use until it has had time to register again",
 	}
+	EndpointLimited = Event{
+		Number: 249,
+		Level:  logrus.InfoLevel,
+		Text:   "endpoint named a limit of requests a second for all instances together",
+	}
+	EndpointUnlimited = Event{
+		Number: 250,
+		Level:  logrus.InfoLevel,
+		Text:   "endpoint no longer names a limit of requests a second",
+	}
+	RequestLimitUnparsable = Event{
+		Number: 251,
+		Level:  logrus.WarnLevel,
+		Text:   "endpoint named a limit that can't be parsed, which changes nothing; logged once per endpoint",
+	}
 	EndpointRemoved = Event{
 		Number: 242,
 		Level:  logrus.InfoLevel,
@@ -297,6 +312,9 @@
 	RetryAfterUnparsable,
 	EndpointEntryOutdated,
 	EndpointLapsed,
+	EndpointLimited,
+	EndpointUnlimited,
+	RequestLimitUnparsable,
 	MemberJoined,
 	InstancePaused,
 	MemberConsideredDead,
--- a/internal/core/mtresponse/metadata.go
+++ b/internal/core/mtresponse/metadata.go
@@ -22,6 +22,12 @@
 	RetryAfter time.Duration
 	// InvalidRetryAfter is the text that the endpoint sent in place of a valid time, or empty.
 	InvalidRetryAfter string
+	// RequestLimit is the number of requests a second that the endpoint takes from all instances together; it is valid
+	// when HasRequestLimit is set.
+	RequestLimit    float64
+	HasRequestLimit bool
+	// InvalidRequestLimit is the text that the endpoint sent in place of a valid limit, or empty.
+	InvalidRequestLimit string
 	// LoadReport is the load of the endpoint; it is valid when Reported is set.
 	LoadReport    mtscheduler.LoadReport
 	HasLoadReport bool
--- a/internal/node/mtgateway/endpoint_notices.go
+++ b/internal/node/mtgateway/endpoint_notices.go
@@ -32,6 +32,9 @@
 // handleEndpointStatement applies what an endpoint states with a response.
 func (g *Gateway) handleEndpointStatement(target *mtscheduler.Endpoint, statement mtresponse.Metadata) {
 	isFromOtherEndpoint := statement.Misdirected || statement.EndpointID != "" && statement.EndpointID != target.ID
+	if !isFromOtherEndpoint {
+		g.logRequestLimit(target, statement)
+	}
 	if isFromOtherEndpoint || !statement.Leaving && statement.RetryAfter == 0 && statement.InvalidRetryAfter == "" {
 		return
 	}
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -100,6 +100,10 @@
 	nextDispatches map[string]time.Time
 	// loggedInvalidRetryAfter contains the endpoints that sent an invalid Retry-After; each is logged once.
 	loggedInvalidRetryAfter map[string]bool
+	// loggedLimits contains the last logged limit of each endpoint, and loggedInvalidLimits the endpoints that named one
+	// that can't be parsed.
+	loggedLimits        map[string]float64
+	loggedInvalidLimits map[string]bool
 	lastRequestID           uint64
 	// maxProbesPerSecond bounds the load probes of one endpoint.
 	maxProbesPerSecond float64
@@ -153,6 +157,8 @@
 		nextDispatches:    map[string]time.Time{},
 
 		loggedInvalidRetryAfter: map[string]bool{},
+		loggedLimits:            map[string]float64{},
+		loggedInvalidLimits:     map[string]bool{},
 	}
 	gateway.currentSettings.Store(settings)
 	gateway.registerGauges()
