--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -104,7 +104,7 @@
 	// that can't be parsed.
 	loggedLimits        map[string]float64
 	loggedInvalidLimits map[string]bool
-	lastRequestID           uint64
+	lastRequestID       uint64
 	// maxProbesPerSecond bounds the load probes of one endpoint.
 	maxProbesPerSecond float64
 }
