All instances together keep the limit of requests that an endpoint names

What endpoints saw (LIMIT): 18 requests in 4 s where 16 are allowed at 1.9 a second, arrivals unchanged by the naming. Cause: the header was not read; class 'input of the protocol ignored'. The fix of each instance for itself would be the next fault, so the promise is taken over the fleet. Change: mtrequestlimit is the limit of one endpoint at one instance (tokens at the rate of its share, requests of the second before count, newest statement holds, 30 s without confirmation end it); mtsteering gives at most four receivers a share, in a partition only the reachable part. mtscheduler passes over endpoints without a token, runs again when there is one, counts their rate as room, and refuses at once what can't be served. Limits travel as messages of their own: an older build would read a mark without a rest as a leave. Before: TestInstancesTogetherKeepLimitOfEndpoint red.

--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -55,6 +55,10 @@
 	EndpointNotices(now time.Time) []*peerv1.Mark
 	// ApplyEndpointNotices applies such notices from another instance.
 	ApplyEndpointNotices(notices []*peerv1.Mark, now time.Time)
+	// EndpointLimits returns the request limits that endpoints have named or lifted, for the next message.
+	EndpointLimits(now time.Time) []*peerv1.Limit
+	// ApplyEndpointLimits applies such limits from another instance.
+	ApplyEndpointLimits(limits []*peerv1.Limit, now time.Time)
 }
 
 // Mesh exchanges gossip with the other instances; it is safe for concurrent use.
@@ -201,7 +205,7 @@
 }
 
 func (m *Mesh) sendHeartbeat(all bool, now time.Time) {
-	notices := m.listener.EndpointNotices(now)
+	statements := m.endpointStatements(now)
 	m.mu.Lock()
 	m.rounds++
 	hasRole := m.listener.CompleteRow(m.view.SelfRow(), now)
@@ -213,10 +217,11 @@
 		})
 		selected = selected[:fanout]
 	}
-	message, err := m.encodeGossip(notices)
+	message, err := m.encodeGossip(statements)
 	rowMessage, rowErr := proto.Marshal(&peerv1.Gossip{
-		Rows:  []*peerv1.Row{m.view.SelfRow()},
-		Marks: notices,
+		Rows:   []*peerv1.Row{m.view.SelfRow()},
+		Marks:  statements.GetMarks(),
+		Limits: statements.GetLimits(),
 	})
 	if len(addresses) == 0 || m.rounds%seedRoundInterval == 0 {
 		selected = append(slices.Clone(selected), m.seedAddresses()...)
@@ -232,19 +237,28 @@
 	}
 }
 
-// encodeGossip returns the next gossip message. The caller must hold mu.
-func (m *Mesh) encodeGossip(notices []*peerv1.Mark) ([]byte, error) {
+// endpointStatements returns a message with what endpoints have stated, and nothing else.
+func (m *Mesh) endpointStatements(now time.Time) *peerv1.Gossip {
+	return &peerv1.Gossip{
+		Marks:  m.listener.EndpointNotices(now),
+		Limits: m.listener.EndpointLimits(now),
+	}
+}
+
+// encodeGossip returns the next gossip message with the statements of endpoints. The caller must hold mu.
+func (m *Mesh) encodeGossip(statements *peerv1.Gossip) ([]byte, error) {
 	gossip := m.view.GossipMessage(maxRowsPerMessage, maxHeartbeatsPerMessage, m.random)
-	gossip.Marks = notices
+	gossip.Marks = statements.GetMarks()
+	gossip.Limits = statements.GetLimits()
 	return proto.Marshal(gossip)
 }
 
 // sendToNewInstance sends a gossip message to an instance that was not known before.
 func (m *Mesh) sendToNewInstance(row *peerv1.Row, now time.Time) {
-	notices := m.listener.EndpointNotices(now)
+	statements := m.endpointStatements(now)
 	m.mu.Lock()
 	m.listener.CompleteRow(m.view.SelfRow(), now)
-	message, err := m.encodeGossip(notices)
+	message, err := m.encodeGossip(statements)
 	address := m.resolveAddress(row.GetMesh())
 	m.mu.Unlock()
 	if err != nil {
@@ -397,6 +411,9 @@
 	if notices := message.GetMarks(); len(notices) > 0 {
 		m.listener.ApplyEndpointNotices(notices, now)
 	}
+	if limits := message.GetLimits(); len(limits) > 0 {
+		m.listener.ApplyEndpointLimits(limits, now)
+	}
 	if changes := message.GetChanges(); changes != nil {
 		m.listener.HandleChanges(changes, now)
 	}
--- a/internal/adapter/mtmesh/mesh_test.go
+++ b/internal/adapter/mtmesh/mesh_test.go
@@ -61,6 +61,8 @@
 func (noopListener) HandleChanges(*peerv1.Changes, time.Time)       {}
 func (noopListener) EndpointNotices(time.Time) []*peerv1.Mark       { return nil }
 func (noopListener) ApplyEndpointNotices([]*peerv1.Mark, time.Time) {}
+func (noopListener) EndpointLimits(time.Time) []*peerv1.Limit       { return nil }
+func (noopListener) ApplyEndpointLimits([]*peerv1.Limit, time.Time) {}
 
 // newTestMesh returns an instance on a free loopback port that receives messages but sends no periodic ones.
 func newTestMesh(t *testing.T, number int, seeds ...string) *Mesh {
--- a/internal/core/mtscheduler/admit.go
+++ b/internal/core/mtscheduler/admit.go
@@ -87,7 +87,7 @@
 	wait := time.Duration(0)
 	if ahead >= capacity.free {
 		// A slot on a slow host does not become free in time, so it is not waited for.
-		wait = s.estimateWait(request, ahead-capacity.free+1, max(1, capacity.fastSlots), now)
+		wait = s.estimateWait(request, ahead-capacity.free+1, capacity.fastSlots, capacity, now)
 	}
 	if s.canMeetObjective(request, time.Duration(waitSafetyFactor*float64(wait)), capacity, now) {
 		s.onTimeRejectionRatio.add(0)
@@ -115,6 +115,9 @@
 	free  int
 	// fastSlots is the number of slots on hosts that are not known to be slow, free or not.
 	fastSlots int
+	// limitedRate is the number of requests a second that endpoints with a request limit take from this instance; the
+	// numbers of slots leave these endpoints out, except for free, which counts those that take a request now.
+	limitedRate float64
 	// slowdownWhenFull is how many times longer a request takes when all slots are in use.
 	slowdownWhenFull float64
 }
@@ -135,6 +138,13 @@
 	for _, endpoint := range s.usableEndpoints(now) {
 		maxConcurrency := s.maxConcurrency(endpoint, now)
 		result.endpoints++
+		if endpoint.RequestLimit.IsLimited(now) {
+			result.limitedRate += s.limitedRate(endpoint, now)
+			if s.hasFreeSlotAt(endpoint, now) {
+				free++
+			}
+			continue
+		}
 		result.slots += maxConcurrency
 		result.slowdownWhenFull = max(result.slowdownWhenFull, s.curve.slowdown(maxConcurrency, endpoint.Slots))
 		// A host whose last report was good is not known to be slow, whatever the age of the report.
@@ -174,7 +184,7 @@
 	return s.reject(
 		request,
 		Overload,
-		s.estimateWait(request, ahead-capacity.unreservedSlots()+1, capacity.slots, now),
+		s.estimateWait(request, ahead-capacity.unreservedSlots()+1, capacity.slots, capacity, now),
 		capacity,
 		now,
 	)
@@ -189,7 +199,7 @@
 // hasUntriedEndpoint reports whether any usable endpoint has not had the request yet.
 func (s *Scheduler) hasUntriedEndpoint(request *Request, now time.Time) bool {
 	return len(request.TriedEndpoints) == 0 || slices.ContainsFunc(s.endpoints, func(endpoint *Endpoint) bool {
-		return endpoint.IsUsable(now) && !slices.Contains(request.TriedEndpoints, endpoint.ID)
+		return endpoint.mayGetRequests(now) && !slices.Contains(request.TriedEndpoints, endpoint.ID)
 	})
 }
 
@@ -326,12 +336,17 @@
 // estimateWait estimates how long it takes until a number of slots have become free for this instance, which gets the
 // slots that other instances leave. Until the first response, the processing time of the request stands in for the mean
 // response time.
-func (s *Scheduler) estimateWait(request *Request, neededSlots, slots int, now time.Time) time.Duration {
+func (s *Scheduler) estimateWait(
+	request *Request, neededSlots, slots int, capacity capacity, now time.Time,
+) time.Duration {
 	responseTime := s.meanResponseTime.value
 	if !s.meanResponseTime.initialized {
 		responseTime = float64(s.estimateOf(request).processingTime())
 	}
-	ownSlots := max(1, float64(slots)*max(minOwnSlotRatio, 1-s.currentPeerSlotRatio(now)))
+	ownSlots := capacity.limitedRate * time.Duration(responseTime).Seconds()
+	if slots > 0 || ownSlots == 0 {
+		ownSlots += max(1, float64(slots)*max(minOwnSlotRatio, 1-s.currentPeerSlotRatio(now)))
+	}
 	return time.Duration(float64(max(0, neededSlots)) * responseTime / ownSlots)
 }
 
--- a/internal/core/mtscheduler/backoff_test.go
+++ b/internal/core/mtscheduler/backoff_test.go
@@ -26,10 +26,10 @@
 func TestRetryAfterCoversEndpointBackoff(t *testing.T) {
 	one, two := newEndpoint("one", 2).withReport(0, 1, t0), newEndpoint("two", 2).withReport(0, 1, t0)
 	scheduler := newTestScheduler(one, two)
-	one.recordStart()
-	one.recordStart()
-	two.recordStart()
-	two.recordStart()
+	one.recordStart(t0)
+	one.recordStart(t0)
+	two.recordStart(t0)
+	two.recordStart(t0)
 	require.Nil(t, scheduler.Enqueue(newRequest(1, t0), t0))
 	require.Empty(t, scheduler.Schedule(t0).Assignments, "the request waits")
 	one.ApplyBackoff(4*time.Second, t0)
@@ -50,8 +50,8 @@
 	request := newRequest(1, t0)
 	request.TriedEndpoints = []string{"one", "two"}
 	require.NotNil(t, scheduler.Enqueue(request, t0))
-	two.recordStart()
-	two.recordStart()
+	two.recordStart(t0)
+	two.recordStart(t0)
 	request = newRequest(2, t0)
 	request.TriedEndpoints = []string{"one"}
 	require.Nil(t, scheduler.Enqueue(request, t0), "the request waits for a slot")
@@ -90,7 +90,7 @@
 // An endpoint may have rejected the requests of one instance only; the instances that it serves must keep using it.
 func TestPeerBackoffIsOnlyAHint(t *testing.T) {
 	one := newEndpoint("one", 2)
-	one.recordStart()
+	one.recordStart(t0)
 	one.recordResult(AttemptResult{Verdict: Served}, t0)
 	one.ApplyPeerBackoff(10*time.Second, t0.Add(maxPeerBackoff/2))
 	require.False(t, one.IsInBackoff(t0.Add(maxPeerBackoff/2)))
--- a/internal/core/mtscheduler/choose_endpoint.go
+++ b/internal/core/mtscheduler/choose_endpoint.go
@@ -183,10 +183,10 @@
 		if slices.Contains(request.TriedEndpoints, endpoint.ID) {
 			continue
 		}
-		concurrency := endpoint.estimatedConcurrency(now) + 1
-		if concurrency > s.maxConcurrency(endpoint, now) {
+		if !s.hasFreeSlotAt(endpoint, now) {
 			continue
 		}
+		concurrency := endpoint.estimatedConcurrency(now) + 1
 		hostSlowdown := endpoint.expectedHostSlowdown(s.meanHostSlowdown.value, now)
 		expected := processingTime * hostSlowdown * s.curve.slowdown(concurrency, endpoint.Slots)
 		if now.Before(endpoint.WarmUpEnd) {
@@ -275,7 +275,7 @@
 	start := s.random.IntN(len(usable))
 	for i := range usable {
 		endpoint := usable[(start+i)%len(usable)]
-		if endpoint.estimatedConcurrency(now) >= s.maxConcurrency(endpoint, now) {
+		if !s.hasFreeSlotAt(endpoint, now) {
 			continue
 		}
 		if endpoint.Centre == s.centre && len(local) < maxLocalSampledEndpoints {
@@ -293,7 +293,7 @@
 // withProbed adds the endpoints that were probed for a request to the sample, as far as they are usable.
 func (s *Scheduler) withProbed(sample []*Endpoint, request *Request, now time.Time) []*Endpoint {
 	for _, endpoint := range request.probed {
-		if !endpoint.IsUsable(now) || endpoint.IsEjected(now) ||
+		if !endpoint.mayGetRequests(now) || endpoint.IsEjected(now) ||
 			slices.Contains(sample, endpoint) || !slices.Contains(s.endpoints, endpoint) {
 			continue
 		}
@@ -305,16 +305,21 @@
 // hasFreeSlot reports whether any endpoint can take another request.
 func (s *Scheduler) hasFreeSlot(now time.Time) bool {
 	return slices.ContainsFunc(s.usableEndpoints(now), func(endpoint *Endpoint) bool {
-		return endpoint.estimatedConcurrency(now) < s.maxConcurrency(endpoint, now)
+		return s.hasFreeSlotAt(endpoint, now)
 	})
 }
 
+// hasFreeSlotAt reports whether an endpoint can take another request of this instance.
+func (s *Scheduler) hasFreeSlotAt(endpoint *Endpoint, now time.Time) bool {
+	return endpoint.estimatedConcurrency(now) < s.maxConcurrency(endpoint, now) && endpoint.RequestLimit.Allows(now)
+}
+
 // usableEndpoints returns the endpoints that may get requests. Ejected ones are included when more than two thirds are
 // ejected. The slice is valid until the next call.
 func (s *Scheduler) usableEndpoints(now time.Time) []*Endpoint {
 	s.openEndpoints, s.healthyEndpoints = s.openEndpoints[:0], s.healthyEndpoints[:0]
 	for _, endpoint := range s.endpoints {
-		if !endpoint.IsUsable(now) {
+		if !endpoint.mayGetRequests(now) {
 			continue
 		}
 		s.openEndpoints = append(s.openEndpoints, endpoint)
--- a/internal/core/mtscheduler/endpoint.go
+++ b/internal/core/mtscheduler/endpoint.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mangotack/mangotack/internal/core/mtrequestlimit"
 )
 
 const (
@@ -78,6 +80,8 @@
 	WarmUpEnd time.Time
 	// Draining is set when the endpoint gets no new requests.
 	Draining bool
+	// RequestLimit is the limit that the endpoint names for the requests of all instances.
+	RequestLimit mtrequestlimit.Limit
 
 	inflight int
 	// peerRequests is the number of other instances' requests in the last report.
@@ -157,8 +161,15 @@
 	e.isPeerBackoff = true
 }
 
-func (e *Endpoint) recordStart() {
+// mayGetRequests reports whether this instance may send requests to the endpoint, now or later: it is usable, and this
+// instance has a share of its request limit.
+func (e *Endpoint) mayGetRequests(now time.Time) bool {
+	return e.IsUsable(now) && e.RequestLimit.OwnRate(now) > 0
+}
+
+func (e *Endpoint) recordStart(now time.Time) {
 	e.inflight++
+	e.RequestLimit.RecordRequest(now)
 }
 
 func (e *Endpoint) recordResult(result AttemptResult, now time.Time) {
--- a/internal/core/mtscheduler/scheduler.go
+++ b/internal/core/mtscheduler/scheduler.go
@@ -249,7 +249,7 @@
 		}
 		assignment, retryAt := s.chooseEndpoint(request, now, &decisions.Probes)
 		if assignment != nil {
-			assignment.Endpoint.recordStart()
+			assignment.Endpoint.recordStart(now)
 			s.estimateOf(request).recordSent(now)
 			decisions.Assignments = append(decisions.Assignments, *assignment)
 			hasFreeSlot = s.hasFreeSlot(now)
@@ -263,6 +263,11 @@
 	}
 	clear(s.queue[len(waiting):])
 	s.queue = waiting
+	if len(waiting) > 0 {
+		if at, found := s.nextLimitedSlotAt(now); found {
+			decisions.runAgainBy(at)
+		}
+	}
 	return decisions
 }
 
--- a/internal/core/mtscheduler/scheduler_test.go
+++ b/internal/core/mtscheduler/scheduler_test.go
@@ -259,14 +259,14 @@
 func TestConsecutiveFailuresEjectAndSuccessReadmits(t *testing.T) {
 	endpoint := newEndpoint("one", 2)
 	for range minFailuresToEject {
-		endpoint.recordStart()
+		endpoint.recordStart(t0)
 		endpoint.recordResult(AttemptResult{
 			Verdict: Failed,
 		}, t0)
 	}
 	require.True(t, endpoint.IsEjected(t0))
 	require.False(t, endpoint.IsEjected(t0.Add(minEjectionTime)))
-	endpoint.recordStart()
+	endpoint.recordStart(t0)
 	endpoint.recordResult(AttemptResult{
 		Verdict: Served,
 	}, t0)
@@ -278,7 +278,7 @@
 	scheduler := newTestScheduler(one, two)
 	for _, endpoint := range scheduler.Endpoints() {
 		for range minFailuresToEject {
-			endpoint.recordStart()
+			endpoint.recordStart(t0)
 			endpoint.recordResult(AttemptResult{
 				Verdict: Failed,
 			}, t0)
--- a/internal/core/mtscheduler/simulation_test.go
+++ b/internal/core/mtscheduler/simulation_test.go
@@ -235,7 +235,7 @@
 		}
 		request := s.scheduler.queue[0]
 		s.scheduler.queue = s.scheduler.queue[1:]
-		least.recordStart()
+		least.recordStart(s.now)
 		s.start(Assignment{
 			ID:           request.ID,
 			Endpoint:     least,
--- a/internal/core/mtsteering/budget_share.go
+++ b/internal/core/mtsteering/budget_share.go
@@ -29,19 +29,28 @@
 	Known int
 }
 
+func (f FleetCounts) knownOrReachable() int {
+	return max(1, f.Known, f.Reachable)
+}
+
+// reachableFraction returns the fraction of the known instances that are reachable.
+func (f FleetCounts) reachableFraction() float64 {
+	return float64(max(1, f.Reachable)) / float64(f.knownOrReachable())
+}
+
 // BudgetShareOf returns the budget share of an instance.
 //
 // In a partition the instances select receivers on each side, and both sides count against the same budgets. The
 // receivers of one side therefore share only the fraction that belongs to the instances of that side.
 func BudgetShareOf(isReceiver bool, fleet FleetCounts) BudgetShare {
-	known := float64(max(1, fleet.Known, fleet.Reachable))
 	if !isReceiver {
+		known := float64(fleet.knownOrReachable())
 		return BudgetShare{
 			RetrySlack: nonReceiverRetrySlack / known,
 			Probes:     nonReceiverProbes / known,
 		}
 	}
-	fraction := float64(max(1, fleet.Reachable)) / known / float64(max(1, fleet.Receivers))
+	fraction := fleet.reachableFraction() / float64(max(1, fleet.Receivers))
 	return BudgetShare{
 		RetrySlack: receiverRetrySlack * fraction,
 		Probes:     receiverProbes * fraction,
--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -197,19 +197,17 @@
 	if errors.Is(err, mtupstream.ErrSendNotAllowed) {
 		verdict = mtscheduler.Abandoned
 	}
-	var report *mtscheduler.LoadReport
+	var statement *mtresponse.Metadata
 	size := int64(0)
 	if reply != nil {
+		statement = &reply.Metadata
 		size = max(reply.BodyLength, int64(len(reply.Body)))
 	}
-	if reply != nil && reply.Metadata.HasLoadReport {
-		report = &reply.Metadata.LoadReport
-	}
 	a.gateway.finishAttempt(a.service, a.route.Name, grant, mtscheduler.AttemptResult{
 		Verdict:       verdict,
 		ResponseTime:  now.Sub(started),
 		ResponseBytes: size,
-	}, report, now)
+	}, statement, now)
 	a.gateway.metrics.countAttempt(a.service, verdict)
 	if verdict == mtscheduler.Failed || verdict == mtscheduler.Shed {
 		a.logAttemptFailure(grant, reply, err, started, now)
--- a/internal/node/mtgateway/dispatch.go
+++ b/internal/node/mtgateway/dispatch.go
@@ -140,21 +140,26 @@
 	g.dispatch(service, now)
 }
 
-// finishAttempt records the end of an attempt at an endpoint and dispatches waiting requests.
+// finishAttempt records the end of an attempt at an endpoint, which stated something with its response unless there is
+// none, and dispatches waiting requests.
 func (g *Gateway) finishAttempt(
-	service, route string, grant mtscheduler.Assignment, result mtscheduler.AttemptResult, report *mtscheduler.LoadReport, now time.Time,
+	service, route string, grant mtscheduler.Assignment, result mtscheduler.AttemptResult, statement *mtresponse.Metadata, now time.Time,
 ) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	placer := g.placerFor(service)
 	placer.Complete(grant, route, result, now)
 	switch {
-	case report != nil:
+	case statement != nil && statement.HasLoadReport:
+		report := statement.LoadReport
 		// The load report of a response still counts the request that it answers.
 		report.OwnRequests = grant.Endpoint.Inflight() + 1
-		placer.RecordReport(grant.Endpoint, *report, now)
+		placer.RecordReport(grant.Endpoint, report, now)
 	case result.Verdict == mtscheduler.Served:
 		placer.RecordMissingReport(grant.Endpoint, now)
 	}
+	if statement != nil && result.Verdict == mtscheduler.Served {
+		g.applyMissingLimit(grant.Endpoint, *statement, now)
+	}
 	g.dispatch(service, now)
 }
--- a/internal/node/mtgateway/endpoint_notices.go
+++ b/internal/node/mtgateway/endpoint_notices.go
@@ -32,17 +32,15 @@
 // handleEndpointStatement applies what an endpoint states with a response.
 func (g *Gateway) handleEndpointStatement(target *mtscheduler.Endpoint, statement mtresponse.Metadata) {
 	isFromOtherEndpoint := statement.Misdirected || statement.EndpointID != "" && statement.EndpointID != target.ID
-	if !isFromOtherEndpoint {
-		g.logRequestLimit(target, statement)
-	}
-	if isFromOtherEndpoint || !statement.Leaving && statement.RetryAfter == 0 && statement.InvalidRetryAfter == "" {
+	if isFromOtherEndpoint || !hasNotice(statement) {
 		return
 	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// An endpoint that is leaving repeats this in each response.
-	isNew := statement.RetryAfter > 0 || !target.Draining
+	isNew := statement.RetryAfter > 0 || statement.Leaving && !target.Draining
+	g.applyNamedLimit(target, statement, now)
 	if statement.Leaving {
 		g.recordEndpointLeaving(mtregistry.LeaveMark{
 			ID:   target.ID,
@@ -70,6 +68,12 @@
 	}
 }
 
+// hasNotice reports whether an endpoint states more than its load.
+func hasNotice(statement mtresponse.Metadata) bool {
+	return statement.Leaving || statement.RetryAfter > 0 || statement.InvalidRetryAfter != "" ||
+		statement.HasRequestLimit || statement.InvalidRequestLimit != ""
+}
+
 // addBackoffJitter lengthens a backoff at random.
 func addBackoffJitter(backoff time.Duration) time.Duration {
 	return backoff + time.Duration(backoffJitterRatio*rand.Float64()*float64(backoff))
--- a/internal/node/mtgateway/feed_changes.go
+++ b/internal/node/mtgateway/feed_changes.go
@@ -206,7 +206,6 @@
 			g.retireTarget(g.targets[id])
 			delete(g.targets, id)
 			delete(g.loggedInvalidRetryAfter, id)
-			delete(g.loggedLimits, id)
 			delete(g.loggedInvalidLimits, id)
 		}
 	}
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -50,7 +50,6 @@
 		placers:       map[string]*mtscheduler.Scheduler{},
 
 		loggedInvalidRetryAfter: map[string]bool{},
-		loggedLimits:            map[string]float64{},
 		loggedInvalidLimits:     map[string]bool{},
 	}
 	gateway.currentSettings.Store(&Settings{})
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -100,11 +100,11 @@
 	nextDispatches map[string]time.Time
 	// loggedInvalidRetryAfter contains the endpoints that sent an invalid Retry-After; each is logged once.
 	loggedInvalidRetryAfter map[string]bool
-	// loggedLimits contains the last logged limit of each endpoint, and loggedInvalidLimits the endpoints that named one
-	// that can't be parsed.
-	loggedLimits        map[string]float64
+	// loggedInvalidLimits contains the endpoints that named a limit that can't be parsed; each is logged once.
 	loggedInvalidLimits map[string]bool
-	lastRequestID       uint64
+	// limitSharing is the view from which the shares of request limits follow.
+	limitSharing  mtsteering.LimitSharing
+	lastRequestID uint64
 	// maxProbesPerSecond bounds the load probes of one endpoint.
 	maxProbesPerSecond float64
 }
@@ -157,7 +157,6 @@
 		nextDispatches:    map[string]time.Time{},
 
 		loggedInvalidRetryAfter: map[string]bool{},
-		loggedLimits:            map[string]float64{},
 		loggedInvalidLimits:     map[string]bool{},
 	}
 	gateway.currentSettings.Store(settings)
@@ -211,6 +210,9 @@
 		defer g.mu.Unlock()
 		return float64(len(g.targets))
 	})
+	g.metrics.addGauge("mangotack_gateway_limited_endpoints", func() float64 {
+		return float64(g.countLimitedEndpoints(time.Now()))
+	})
 	g.metrics.addGauge("mangotack_gateway_connections_total", func() float64 {
 		return float64(g.endpointPool.DialCount())
 	})
--- a/internal/node/mtgateway/replication.go
+++ b/internal/node/mtgateway/replication.go
@@ -120,6 +120,8 @@
 	g.feeds.mu.Unlock()
 	if accepted {
 		g.applyBatch(batch, "peer", age, now)
+		// The endpoints must be known before their limits.
+		g.ApplyEndpointLimits(changes.GetLimits(), now)
 	} else if f.number == mtreplication.ConfigurationFeed {
 		// A record in force that the store has lost belongs to no position of the feed.
 		batch.Changes = slices.DeleteFunc(batch.Changes, func(change mtreplication.Change) bool {
@@ -256,6 +258,7 @@
 	}
 	if mtreplication.Feed(request.GetFeed()) == mtreplication.EndpointFeed {
 		changes.Marks = g.endpointNotices(math.MaxInt, time.Now())
+		changes.Limits = g.endpointLimits(math.MaxInt, time.Now())
 	}
 	f := g.feedByNumber(request.GetFeed())
 	if f == nil {
--- a/internal/node/mtgateway/roles.go
+++ b/internal/node/mtgateway/roles.go
@@ -113,11 +113,13 @@
 	isReceiver := slices.ContainsFunc(receivers, isSelf)
 	changed = g.isReceiver.Swap(isReceiver) != isReceiver || changed
 	g.publishReceivers(receivers, now)
-	g.updateBudgetShares(isReceiver, mtsteering.FleetCounts{
+	fleet := mtsteering.FleetCounts{
 		Receivers: len(receivers),
 		Reachable: alive,
 		Known:     g.mesh.CountNotLeaving(),
-	}, now)
+	}
+	g.updateBudgetShares(isReceiver, fleet, now)
+	g.updateLimitShares(receivers, fleet, now)
 	if !changed {
 		return remaining
 	}
