soak: endpoints name limits for a while, and the invariant 'limit' checks what they get

Cause: limits over several processes with real sockets, kills, pauses, restarts and cuts were not played by any run of our own. Before: no such check.

--- a/internal/soak/mtinvariant/checker.go
+++ b/internal/soak/mtinvariant/checker.go
@@ -25,6 +25,8 @@
 	WithinTimeout Invariant = "in-time"
 	// DrainedIdle: an endpoint that is registered as draining gets no more requests.
 	DrainedIdle Invariant = "leaving"
+	// LimitKept: an endpoint gets from all instances that it has told no more requests than the limit that it names.
+	LimitKept Invariant = "limit"
 	// VersionsMonotonic: an instance never reverts to an older configuration.
 	VersionsMonotonic Invariant = "no-step-back"
 	// ConfigApplied: all instances apply a configuration in time.
@@ -39,6 +41,7 @@
 var timingDependent = map[Invariant]bool{
 	WithinTimeout:  true,
 	DrainedIdle:    true,
+	LimitKept:      true,
 	ConfigApplied:  true,
 	RetriesBounded: true,
 }
--- a/internal/soak/mtschedule/schedule.go
+++ b/internal/soak/mtschedule/schedule.go
@@ -81,6 +81,8 @@
 	EndpointStall Kind = "endpoint-silent"
 	// EndpointStallAnswers withholds the bytes from the endpoint.
 	EndpointStallAnswers Kind = "endpoint-one-way"
+	// EndpointLimit names a limit of requests a second.
+	EndpointLimit Kind = "endpoint-limit"
 	// EndpointBlackhole forwards nothing more on the open connections and leaves them open.
 	EndpointBlackhole Kind = "endpoint-forget"
 )
@@ -184,14 +186,14 @@
 // NewSchedule draws the events of a seed and returns them in the order of their times; the same seed and parameters
 // give the same events.
 func NewSchedule(seed uint64, parameters Parameters) []Event {
-	events := append(drawEvents(seed, parameters), drawRestores(seed, parameters)...)
+	events := slices.Concat(drawEvents(seed, parameters), drawRestores(seed, parameters), drawLimits(seed, parameters))
 	slices.SortStableFunc(events, func(a, b Event) int {
 		return cmp.Compare(a.At, b.At)
 	})
 	return events
 }
 
-// drawEvents draws all events but the restores of the store.
+// drawEvents draws all events but the restores of the store and the limits of endpoints.
 func drawEvents(seed uint64, parameters Parameters) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
 	groupSizes := map[targetGroup]int{
@@ -252,3 +254,29 @@
 		})
 	}
 }
+
+// limitIntervals is the mean time between two limits of endpoints, as a multiple of the mean time between two events, and
+// minLimitTime and maxLimitTime bound the time for which an endpoint names a limit.
+const (
+	limitIntervals = 12
+	minLimitTime   = 5 * second
+	maxLimitTime   = 9 * second
+)
+
+// drawLimits draws the limits of endpoints from a random source of their own, as drawRestores does.
+func drawLimits(seed uint64, parameters Parameters) []Event {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var events []Event
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * limitIntervals * float64(parameters.MeanInterval))
+		if at >= parameters.Duration {
+			return events
+		}
+		events = append(events, Event{
+			At:       at,
+			Kind:     EndpointLimit,
+			Target:   random.IntN(parameters.Endpoints),
+			Duration: minLimitTime + time.Duration(random.Int64N(int64(maxLimitTime-minLimitTime))),
+		})
+	}
+}
--- a/internal/soak/mtschedule/schedule_test.go
+++ b/internal/soak/mtschedule/schedule_test.go
@@ -23,11 +23,12 @@
 		drawn[event.Kind] = true
 	}
 	require.True(t, drawn[StoreRestore])
-	require.Len(t, drawn, len(boundsByKind)+1, "an hour draws each kind of event, and restores of the store")
+	require.True(t, drawn[EndpointLimit])
+	require.Len(t, drawn, len(boundsByKind)+2, "an hour draws each kind of event, restores of the store and limits")
 }
 
 // Seeds that have found a fault must go on to draw the events with which they found it.
-func TestRestoresLeaveOtherEventsOfASeedAlone(t *testing.T) {
+func TestRestoresAndLimitsLeaveOtherEventsOfASeedAlone(t *testing.T) {
 	parameters := Parameters{
 		Duration:     time.Hour,
 		Instances:    4,
@@ -35,7 +36,7 @@
 		MeanInterval: time.Second,
 	}
 	events := slices.DeleteFunc(NewSchedule(7, parameters), func(event Event) bool {
-		return event.Kind == StoreRestore
+		return event.Kind == StoreRestore || event.Kind == EndpointLimit
 	})
 	require.Equal(t, drawEvents(7, parameters), events)
 }
--- a/internal/soak/mtsoak/endpoint.go
+++ b/internal/soak/mtsoak/endpoint.go
@@ -62,6 +62,7 @@
 	index         int
 	listenAddress string
 	proxy         *mtfaultproxy.Proxy
+	limit         requestLimit
 	// lifecycleMu is locked while the endpoint drains or restarts.
 	lifecycleMu sync.Mutex
 
@@ -166,6 +167,8 @@
 		e.run.checker.Report(now, mtinvariant.DrainedIdle,
 			"request %s arrived at %s %v after it was registered as draining", id, e.fake.ID, now-drainingSince)
 	}
+	e.checkLimit(id, instance, now)
+	defer func() { e.limit.recordAnswer(instance, e.run.now()) }()
 	if fault == mtschedule.EndpointShed {
 		writer.Header().Set(mtname.NotExecutedHeader, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/soak/mtsoak/faults.go
+++ b/internal/soak/mtsoak/faults.go
@@ -67,6 +67,8 @@
 		r.injectConnectionFault(r.endpointNames[event.Target], r.endpoints[event.Target].proxy, event)
 	case mtschedule.EndpointRestart:
 		r.restartEndpoint(r.endpoints[event.Target], event.Duration)
+	case mtschedule.EndpointLimit:
+		r.limitEndpoint(r.endpoints[event.Target], event.Duration)
 	case mtschedule.EndpointDrain:
 		r.drainEndpoint(r.endpoints[event.Target], event.Duration)
 	case mtschedule.EndpointHang, mtschedule.EndpointShed, mtschedule.EndpointDropAnswers,
--- a/internal/soak/mtsoak/run.go
+++ b/internal/soak/mtsoak/run.go
@@ -70,6 +70,7 @@
 	// processLocks are locked while the process of an instance is being replaced, by the index of the instance.
 	processLocks []sync.Mutex
 	reloadCount  atomic.Int64
+	limitCount   atomic.Int64
 
 	mu      sync.Mutex
 	version int
