--- a/internal/core/mtscheduler/admit.go
+++ b/internal/core/mtscheduler/admit.go
@@ -103,7 +103,8 @@
 }
 
 func (s *Scheduler) hasHedgeSlot(capacity capacity) bool {
-	return len(s.queue) == 0 && capacity.free > capacity.slots/hedgeFreeSlotDivisor
+	// An endpoint that limits its requests gets no hedges if there is no other.
+	return len(s.queue) == 0 && capacity.slots > 0 && capacity.free > capacity.slots/hedgeFreeSlotDivisor
 }
 
 // capacity is the number of requests that the endpoints can run at a moment.
--- a/internal/core/mtscheduler/limited_endpoints_test.go
+++ b/internal/core/mtscheduler/limited_endpoints_test.go
@@ -89,3 +89,14 @@
 	require.NotNil(t, rejection)
 	require.Equal(t, NoUntriedEndpoint, rejection.Reason)
 }
+
+func TestHedgesSpendNoLimitOfServiceWithoutOtherEndpoints(t *testing.T) {
+	now := t0.Add(10 * time.Second)
+	limited := newEndpoint("one", 8).withRequestLimit(2, 1)
+	require.True(t, limited.RequestLimit.Allows(now))
+	scheduler := newTestScheduler(limited)
+	require.False(t, scheduler.HasHedgeSlot(now))
+	hedge := newRequest(1, now)
+	hedge.IsHedge = true
+	require.Equal(t, NoFreeHedgeSlot, scheduler.Enqueue(hedge, now).Reason)
+}
