Requests at an instance that reaches no endpoint of a service are passed on to one that does

Cause: such an instance knew that its attempts failed, not that it was the only one; nothing led a request to another instance. Ruled out: refusing at once or closing connections (each is a failed first try, and callers keep the address for up to three times as long as told); judging by failures alone (crashed endpoints fail in the same way); a header that counts hops (callers can set it). An instance without a relay address is not asked.

--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -196,6 +196,16 @@
 		Level:  logrus.WarnLevel,
 		Text:   "endpoint named a limit that can't be parsed, which changes nothing; logged once per endpoint",
 	}
+	ServiceLost = Event{
+		Number: 252,
+		Level:  logrus.WarnLevel,
+		Text:   "no endpoint of a service is reached; its requests are passed on to other instances",
+	}
+	ServiceReached = Event{
+		Number: 253,
+		Level:  logrus.InfoLevel,
+		Text:   "endpoints of a service are reached again",
+	}
 	EndpointRemoved = Event{
 		Number: 242,
 		Level:  logrus.InfoLevel,
@@ -315,6 +325,8 @@
 	EndpointLimited,
 	EndpointUnlimited,
 	RequestLimitUnparsable,
+	ServiceLost,
+	ServiceReached,
 	MemberJoined,
 	InstancePaused,
 	MemberConsideredDead,
--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -61,10 +61,11 @@
 	}
 }
 
-// acquire returns an idle connection to an address, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, address string, idempotent bool, now time.Time) (*conn, error) {
-	for {
-		pooled := p.popIdle(address, idempotent, now)
+// acquire returns an idle connection to the address of a request, or dials a new one.
+func (p *Pool) acquire(ctx context.Context, request Request, now time.Time) (*conn, error) {
+	address := request.Address
+	for !request.onNewConnection {
+		pooled := p.popIdle(address, request.Idempotent, now)
 		if pooled == nil {
 			break
 		}
@@ -80,6 +81,9 @@
 	p.mu.Lock()
 	p.dialCount++
 	p.mu.Unlock()
+	if request.OnConnected != nil {
+		request.OnConnected()
+	}
 	return newConn(socket, address), nil
 }
 
--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -22,6 +22,7 @@
 	maxResponses   = 3
 	readBufferSize = 4 << 10
 	probeTimeout   = 150 * time.Millisecond
+	checkTimeout   = dialTimeout
 )
 
 type conn struct {
@@ -67,6 +68,10 @@
 	OnHeader func(metadata mtresponse.Metadata)
 	// MaySend, if set, is called once a connection is open; the request is not sent unless it returns true.
 	MaySend func() bool
+	// OnConnected, if set, is called once a new connection is open; it is not called when an open one is used.
+	OnConnected func()
+	// onNewConnection is set if no open connection may be used.
+	onNewConnection bool
 	// isProbe marks a probe: at most maxProbeBodyBytes of its response body are read.
 	isProbe bool
 }
@@ -110,7 +115,7 @@
 
 // Send sends a request once and returns its response. Reply.Rest streams a body that is too long to be buffered.
 func (p *Pool) Send(ctx context.Context, request Request, deadline time.Time) (*Response, DeliveryStatus, error) {
-	c, err := p.acquire(ctx, request.Address, request.Idempotent, time.Now())
+	c, err := p.acquire(ctx, request, time.Now())
 	if err != nil {
 		return nil, NotSent, err
 	}
@@ -296,6 +301,29 @@
 	return nil
 }
 
+// Check requests the health check path of an endpoint on a new connection and reports whether anything responds within
+// checkTimeout.
+func (p *Pool) Check(ctx context.Context, address, path string) bool {
+	checkCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	reply, _, err := p.Send(checkCtx, Request{
+		Address:         address,
+		Method:          http.MethodGet,
+		Target:          path,
+		Host:            address,
+		Idempotent:      true,
+		onNewConnection: true,
+		isProbe:         true,
+	}, time.Now().Add(checkTimeout))
+	if err != nil {
+		return false
+	}
+	if reply.Remainder != nil {
+		_ = reply.Remainder.Close()
+	}
+	return true
+}
+
 // Probe requests the health check path of an endpoint and returns what the response states, such as the load. It calls
 // onHeader, if set, once the headers of each response are read.
 func (p *Pool) Probe(ctx context.Context, address, path string,
--- a/internal/core/mtscheduler/scheduler.go
+++ b/internal/core/mtscheduler/scheduler.go
@@ -205,6 +205,17 @@
 	return false
 }
 
+// RemoveAll removes all waiting requests and returns their IDs.
+func (s *Scheduler) RemoveAll() []uint64 {
+	ids := make([]uint64, 0, len(s.queue))
+	for _, request := range s.queue {
+		ids = append(ids, request.ID)
+	}
+	clear(s.queue)
+	s.queue = s.queue[:0]
+	return ids
+}
+
 // Decisions is the result of one run of the scheduler.
 type Decisions struct {
 	Assignments []Assignment
--- a/internal/core/mtsteering/selection.go
+++ b/internal/core/mtsteering/selection.go
@@ -64,6 +64,10 @@
 	FeedAge time.Duration
 	// CPUStarved is set while the instance does not get the processor time that it needs.
 	CPUStarved bool
+	// RelayAddress is the address for requests that other instances pass on, or empty.
+	RelayAddress string
+	// LostServices are the services of which the instance reaches no endpoint.
+	LostServices []string
 	// SinceHeartbeat is the time since a heartbeat of the instance last arrived.
 	SinceHeartbeat time.Duration
 }
@@ -102,7 +106,7 @@
 	rate, answerMegabits := totalLoad(candidates)
 	minAge := minFeedAge(eligible)
 	for i, r := range eligible {
-		eligible[i].penalties = countTrue(r.FeedAge > minAge+maxFeedAgeLag, r.CPUStarved)
+		eligible[i].penalties = countTrue(r.FeedAge > minAge+maxFeedAgeLag, r.CPUStarved, len(r.LostServices) > 0)
 		eligible[i].negatedTier = -capacityTier(*r.Candidate, answerMegabits)
 	}
 	minCount := minReceivers
--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -11,6 +11,7 @@
 	"github.com/mangotack/mangotack/internal/core/mtresponse"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
+	"github.com/mangotack/mangotack/internal/core/mtsteering"
 )
 
 const (
@@ -60,6 +61,12 @@
 	// endpointsFull is set when an endpoint that did not take the request was full, was unreachable or reported no
 	// load.
 	endpointsFull bool
+	// isRelayed is set when another instance has passed the request on, so that it must not be passed on again.
+	isRelayed bool
+	// triedHelpers are the instances that the request was passed on to, and activeRelays the number of them that have
+	// not answered.
+	triedHelpers []string
+	activeRelays int
 	// budgetDenied is set when the budget denied the last extra attempt.
 	budgetDenied bool
 	// cancelAll cancels all attempts; attemptCancels contains the cancel function of each running attempt by its
@@ -71,6 +78,8 @@
 
 // attemptResult is the result of one attempt.
 type attemptResult struct {
+	// helper is the name of the instance that the request was passed on to, or empty.
+	helper   string
 	attempt  int
 	cancel   context.CancelFunc
 	refusal  *mtscheduler.Rejection
@@ -94,7 +103,7 @@
 		id:             id,
 		objective:      objective,
 		deadline:       deadline,
-		results:        make(chan attemptResult, route.Attempts+maxUnsentRetries+1),
+		results:        make(chan attemptResult, route.Attempts+maxUnsentRetries+2),
 		attemptCancels: map[int]context.CancelFunc{},
 	}
 }
@@ -103,8 +112,11 @@
 func (a *activeRequest) run(ctx context.Context) *mtingress.Response {
 	attemptsCtx, cancel := context.WithDeadline(ctx, a.deadline)
 	a.cancelAll = cancel
-	a.gateway.retryBudget(a.service).countRequest(a.call.ArrivedAt)
 	a.startAttempt(attemptsCtx, false)
+	if a.activeRelays == 0 {
+		// The helper counts the others.
+		a.gateway.retryBudget(a.service).countRequest(a.call.ArrivedAt)
+	}
 	hedgeTimer := time.NewTimer(a.hedgeDelay())
 	defer hedgeTimer.Stop()
 	for {
@@ -144,8 +156,13 @@
 	}
 }
 
-// startAttempt waits for an endpoint and sends the request to it, in a goroutine of its own.
+// startAttempt waits for an endpoint and sends the request to it, or passes it on to a helper, in a goroutine of its own.
 func (a *activeRequest) startAttempt(ctx context.Context, isHedge bool) {
+	helper, isPassedOn := a.pickHelper(time.Now())
+	if isPassedOn {
+		a.triedHelpers = append(a.triedHelpers, helper.Name)
+		a.activeRelays++
+	}
 	a.activeAttempts++
 	a.attemptCount++
 	attempt := a.attemptCount
@@ -155,14 +172,10 @@
 	request.IsHedge = isHedge
 	go func() {
 		result := attemptResult{}
-		enqueued := time.Now()
-		grant, refusal := a.gateway.assignEndpoint(attemptCtx, a.service, request)
-		if refusal != nil {
-			result.refusal = refusal
+		if isPassedOn {
+			result = a.relay(attemptCtx, helper)
 		} else {
-			a.grants.add(grant)
-			a.gateway.metrics.observeWait(a.service, time.Since(enqueued))
-			result = a.send(attemptCtx, grant)
+			result = a.assignAndSend(attemptCtx, request)
 		}
 		result.attempt = attempt
 		result.cancel = cancel
@@ -171,6 +184,28 @@
 	}()
 }
 
+// pickHelper returns the instance to pass the request on to, if this one can't serve it.
+func (a *activeRequest) pickHelper(now time.Time) (helper mtsteering.Candidate, found bool) {
+	if a.isRelayed {
+		return mtsteering.Candidate{}, false
+	}
+	return a.gateway.pickHelper(a.service, a.triedHelpers, now)
+}
+
+// assignAndSend waits for an endpoint and sends the request to it.
+func (a *activeRequest) assignAndSend(ctx context.Context, request *mtscheduler.Request) attemptResult {
+	enqueued := time.Now()
+	grant, refusal := a.gateway.assignEndpoint(ctx, a.service, request)
+	if refusal != nil {
+		return attemptResult{
+			refusal: refusal,
+		}
+	}
+	a.grants.add(grant)
+	a.gateway.metrics.observeWait(a.service, time.Since(enqueued))
+	return a.send(ctx, grant)
+}
+
 // send sends the request to the endpoint of a grant.
 func (a *activeRequest) send(ctx context.Context, grant mtscheduler.Assignment) attemptResult {
 	started := time.Now()
@@ -188,6 +223,9 @@
 		OnHeader: func(statement mtresponse.Metadata) {
 			a.gateway.handleEndpointStatement(grant.Endpoint, statement)
 		},
+		OnConnected: func() {
+			a.gateway.recordConnected(a.service)
+		},
 		MaySend: func() bool {
 			return a.gateway.isGrantValid(grant, started, time.Now())
 		},
@@ -208,6 +246,7 @@
 		ResponseTime:  now.Sub(started),
 		ResponseBytes: size,
 	}, statement, now)
+	a.gateway.recordReach(a.service, grant.Endpoint, verdict, delivery, now)
 	a.gateway.metrics.countAttempt(a.service, verdict)
 	if verdict == mtscheduler.Failed || verdict == mtscheduler.Shed {
 		a.logAttemptFailure(grant, reply, err, started, now)
@@ -246,6 +285,9 @@
 		result.cancel()
 		return a.handleRefusal(ctx, result)
 	}
+	if result.helper != "" {
+		a.activeRelays--
+	}
 	if result.delivery != mtupstream.NotSent {
 		a.sentAttempts++
 	} else {
@@ -253,6 +295,8 @@
 	}
 	mayHaveRun := false
 	switch {
+	case result.helper != "" && result.delivery == mtupstream.Answered:
+		return a.handleRelayReply(result)
 	case result.delivery == mtupstream.MayHaveRun:
 		mayHaveRun = true
 		a.reason = "lost"
@@ -292,6 +336,9 @@
 		a.retryAfter = result.refusal.RetryAfter
 	}
 	switch {
+	case result.refusal.Reason == reasonLost && !result.isHedge:
+		a.startAttempt(ctx, false)
+		return nil
 	case a.activeAttempts > 0 || result.refusal.Reason == reasonExpired:
 		return nil
 	case result.isHedge && a.mayRetry(a.mayHaveRun):
@@ -330,8 +377,10 @@
 // tryHedge sends an idempotent request to a second endpoint with a free slot while the first has not answered.
 func (a *activeRequest) tryHedge(ctx context.Context) {
 	now := time.Now()
-	if !a.route.Idempotent || a.activeAttempts != 1 || a.sentAttempts+2 > a.route.Attempts ||
-		!a.gateway.hasFreeSlot(a.service, now) {
+	if !a.route.Idempotent || a.activeAttempts != 1 || a.activeRelays > 0 || a.sentAttempts+2 > a.route.Attempts {
+		return
+	}
+	if _, hasHelper := a.pickHelper(now); !hasHelper && !a.gateway.hasFreeSlot(a.service, now) {
 		return
 	}
 	if a.takeExtraAttempt("hedge", now) {
--- a/internal/node/mtgateway/active_request_log.go
+++ b/internal/node/mtgateway/active_request_log.go
@@ -28,6 +28,9 @@
 	}
 	grants := a.grants.snapshot()
 	fields["sent"] = len(grants)
+	if len(a.triedHelpers) > 0 {
+		fields["helpers"] = strings.Join(a.triedHelpers, " ")
+	}
 	if answeredBy == nil && len(grants) > 0 {
 		answeredBy = &grants[len(grants)-1]
 	}
@@ -102,7 +105,12 @@
 	if !a.gateway.requestLog.allow(importance, a.call.ArrivedAt) {
 		return
 	}
-	fields := a.logFields(elapsed, &grant)
+	answeredBy := &grant
+	if grant.Endpoint == nil {
+		// A helper has answered.
+		answeredBy = nil
+	}
+	fields := a.logFields(elapsed, answeredBy)
 	fields["status"] = reply.Status
 	fields["left"] = a.objective.Sub(a.call.ArrivedAt).Milliseconds()
 	a.gateway.requestLog.write(mtevent.CallAnswered, fields)
--- a/internal/node/mtgateway/dispatch.go
+++ b/internal/node/mtgateway/dispatch.go
@@ -129,11 +129,16 @@
 	defer g.mu.Unlock()
 	placer := g.placerFor(service)
 	switch {
-	case err != nil, statement.EndpointID != "" && statement.EndpointID != target.ID:
+	case err != nil:
+		placer.RecordFailedProbe(target, now)
+		g.recordUnreached(service, target, true, now)
+	case statement.EndpointID != "" && statement.EndpointID != target.ID:
 		placer.RecordFailedProbe(target, now)
 	case !statement.HasLoadReport:
+		g.trackerOf(service).RecordResponse()
 		placer.RecordMissingReport(target, now)
 	default:
+		g.trackerOf(service).RecordResponse()
 		statement.LoadReport.OwnRequests = target.Inflight()
 		placer.RecordReport(target, statement.LoadReport, now)
 	}
--- a/internal/node/mtgateway/feeds.go
+++ b/internal/node/mtgateway/feeds.go
@@ -43,6 +43,7 @@
 	leaving          bool
 	storeUnreachable bool
 	lacksCPU         bool
+	lostServices     int
 }
 
 func newFeedSet(now time.Time) *feedSet {
@@ -277,6 +278,7 @@
 	self.Ready = g.isReady()
 	self.Leaving = g.leaving.Load()
 	self.Strained = g.lacksCPU.Load()
+	self.Lost = g.currentLostServices()
 	self.Rate = float32(g.requestRate.perSecond(now))
 	return g.currentStoreRole() != mtreplication.Listener || g.isReceiver.Load() || self.Leaving
 }
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtreach"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
 	"github.com/mangotack/mangotack/internal/core/mtreplication"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
@@ -51,6 +52,7 @@
 
 		loggedInvalidRetryAfter: map[string]bool{},
 		loggedInvalidLimits:     map[string]bool{},
+		trackers:                map[string]*mtreach.Tracker{},
 	}
 	gateway.currentSettings.Store(&Settings{})
 	return gateway
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtmesh"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtmembership"
+	"github.com/mangotack/mangotack/internal/core/mtreach"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
@@ -60,8 +61,11 @@
 	// responseByteRate is the number of bytes sent to callers a second.
 	responseByteRate sharedRate
 	ingress          *mtingress.Server
-	httpServers      []*http.Server
-	peerClient       *http.Client
+	// relayIngress accepts requests that other instances pass on, and relayPool holds the connections to them.
+	relayIngress *mtingress.Server
+	relayPool    *mtupstream.Pool
+	httpServers  []*http.Server
+	peerClient   *http.Client
 
 	routeTable        atomic.Pointer[mtroute.Table]
 	inForce           atomic.Pointer[configurationInForce]
@@ -79,7 +83,9 @@
 	storeRole  atomic.Int32
 	isReceiver atomic.Bool
 	lacksCPU   atomic.Bool
-	leaving    atomic.Bool
+	// lostServices are the services of which this instance reaches no endpoint.
+	lostServices atomic.Pointer[[]string]
+	leaving      atomic.Bool
 	// endpointsLoaded is set once the full list of endpoints has been read.
 	endpointsLoaded atomic.Bool
 
@@ -102,6 +108,8 @@
 	loggedInvalidRetryAfter map[string]bool
 	// loggedInvalidLimits contains the endpoints that named a limit that can't be parsed; each is logged once.
 	loggedInvalidLimits map[string]bool
+	// trackers tell of each service whether this instance reaches its endpoints.
+	trackers map[string]*mtreach.Tracker
 	// limitSharing is the view from which the shares of request limits follow.
 	limitSharing  mtsteering.LimitSharing
 	lastRequestID uint64
@@ -127,6 +135,7 @@
 		requestLog:     newRequestLog(logger),
 		metrics:        newGatewayMetrics(),
 		endpointPool:   mtupstream.NewPool(headerCodec, net.ParseIP(host)),
+		relayPool:      mtupstream.NewPool(opaqueResponses{}, net.ParseIP(host)),
 		feeds:          newFeedSet(now),
 		retryBudgets:   newRetryBudgets(settings.RetryPart, settings.RetryWindow),
 		callerPatience: newCallerPatience(),
@@ -158,6 +167,7 @@
 
 		loggedInvalidRetryAfter: map[string]bool{},
 		loggedInvalidLimits:     map[string]bool{},
+		trackers:                map[string]*mtreach.Tracker{},
 	}
 	gateway.currentSettings.Store(settings)
 	gateway.registerGauges()
@@ -170,6 +180,14 @@
 	if err != nil {
 		return err
 	}
+	if g.settings().Relay != "" {
+		g.relayIngress, err = mtingress.NewServer(g.settings().Relay, relayedCalls{
+			gateway: g,
+		}, g.relayIngressLimits)
+		if err != nil {
+			return err
+		}
+	}
 	g.mesh, err = mtmesh.NewMesh(&peerv1.Row{
 		Instance:    g.settings().Instance,
 		Incarnation: max(1, rand.Uint64()),
@@ -177,6 +195,7 @@
 		Centre:      g.settings().Centre,
 		Calls:       g.settings().Calls,
 		Mesh:        g.settings().Mesh,
+		Relay:       g.settings().Relay,
 		Capacity:    float32(g.settings().Capacity),
 	}, g.settings().Seeds, g, g.logger)
 	if err != nil {
@@ -256,7 +275,7 @@
 	updated.Instance, updated.Centre = previous.Instance, previous.Centre
 	updated.Calls, updated.Ready, updated.Directory, updated.Mesh =
 		previous.Calls, previous.Ready, previous.Directory, previous.Mesh
-	updated.Metrics, updated.Store = previous.Metrics, previous.Store
+	updated.Metrics, updated.Store, updated.Relay = previous.Metrics, previous.Store, previous.Relay
 	g.currentSettings.Store(&updated)
 	g.retryBudgets.setRatio(updated.RetryPart, updated.RetryWindow)
 	g.mesh.AddSeeds(updated.Seeds, now)
@@ -310,10 +329,15 @@
 	go g.ingress.Serve(func(err error) {
 		g.logListenerFailure(g.settings().Calls, err)
 	})
+	if g.relayIngress != nil {
+		go g.relayIngress.Serve(func(err error) {
+			g.logListenerFailure(g.settings().Relay, err)
+		})
+	}
 	<-ctx.Done()
 	g.drain()
 	mtevent.InstanceStopped.Log(g.logger, logrus.Fields{
-		"unanswered": g.ingress.UnansweredCount(),
+		"unanswered": g.unansweredCount(),
 	})
 }
 
@@ -333,29 +357,53 @@
 			return
 		case now := <-ticker.C:
 			g.endpointPool.CloseExpired(now)
+			g.relayPool.CloseExpired(now)
 			g.expireNotices(now)
 			g.maintainMembers(ctx, now)
 		}
 	}
 }
 
+// ingresses returns the servers that accept requests.
+func (g *Gateway) ingresses() []*mtingress.Server {
+	if g.relayIngress == nil {
+		return []*mtingress.Server{g.ingress}
+	}
+	return []*mtingress.Server{g.ingress, g.relayIngress}
+}
+
+// unansweredCount returns the number of requests that are not answered yet.
+func (g *Gateway) unansweredCount() int {
+	count := 0
+	for _, ingress := range g.ingresses() {
+		count += ingress.UnansweredCount()
+	}
+	return count
+}
+
 // drain directs callers to other instances, accepts late requests for a while, and finishes the open requests.
 func (g *Gateway) drain() {
 	started := time.Now()
 	mtevent.InstanceDraining.Log(g.logger, logrus.Fields{
-		"unanswered": g.ingress.UnansweredCount(),
+		"unanswered": g.unansweredCount(),
 	})
 	g.leaving.Store(true)
 	g.selectRoles(started)
 	g.mesh.SendHeartbeat(started)
-	g.ingress.DisableKeepAlive()
+	for _, ingress := range g.ingresses() {
+		ingress.DisableKeepAlive()
+	}
 	time.Sleep(g.settings().Stay)
-	g.ingress.Close()
+	for _, ingress := range g.ingresses() {
+		ingress.Close()
+	}
 	deadline := started.Add(g.settings().Grace - shutdownMargin)
-	for g.ingress.UnansweredCount() > 0 && time.Now().Before(deadline) {
+	for g.unansweredCount() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	g.ingress.Wait(ctx)
+	for _, ingress := range g.ingresses() {
+		ingress.Wait(ctx)
+	}
 }
--- a/internal/node/mtgateway/handle.go
+++ b/internal/node/mtgateway/handle.go
@@ -30,6 +30,11 @@
 
 // Handle answers one request; nil closes its connection without an answer.
 func (g *Gateway) Handle(ctx context.Context, call *mtingress.Call) *mtingress.Response {
+	return g.handle(ctx, call, false)
+}
+
+// handle answers one request, which isRelayed if another instance has passed it on.
+func (g *Gateway) handle(ctx context.Context, call *mtingress.Call, isRelayed bool) *mtingress.Response {
 	g.requestRate.add(1, call.ArrivedAt)
 	table := g.routeTable.Load()
 	if table == nil || !g.isStateLoaded() {
@@ -50,7 +55,9 @@
 			return nil
 		}
 	}
-	return newActiveRequest(g, call, route, table).run(ctx)
+	request := newActiveRequest(g, call, route, table)
+	request.isRelayed = isRelayed
+	return request.run(ctx)
 }
 
 // recordRejection counts and logs a request that is refused before any attempt.
--- a/internal/node/mtgateway/metrics.go
+++ b/internal/node/mtgateway/metrics.go
@@ -67,6 +67,15 @@
 	).Update(wait.Seconds())
 }
 
+// countRelay counts a request that was passed on to another instance.
+func (m *gatewayMetrics) countRelay(service string, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mangotack_gateway_relayed_total{service=%q,result=%q}`, service, result)).Inc()
+}
+
 func (m *gatewayMetrics) countStoreCall(feed mtreplication.Feed, err error) {
 	result := "ok"
 	if err != nil {
--- /dev/null
+++ b/internal/node/mtgateway/reach.go
@@ -0,0 +1,198 @@
+// An instance that reaches no endpoint of a service passes the requests for it on to an instance that does. Whether it
+// reaches any follows from its own failures and from checks on new connections; the others learn it with its row.
+
+package mtgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
+	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtreach"
+	"github.com/mangotack/mangotack/internal/core/mtscheduler"
+	"github.com/mangotack/mangotack/internal/core/mtsteering"
+)
+
+const (
+	// maxCheckedEndpoints is the number of endpoints that a check asks. Some of them may have crashed.
+	maxCheckedEndpoints = 4
+	// maxLostServicesPerRow bounds the services in a row.
+	maxLostServicesPerRow = 32
+	// reasonLost is the refusal reason of a request that waited for an endpoint when this instance lost all of them.
+	reasonLost = "cut"
+)
+
+// trackerOf returns the tracker of a service, which it creates on first use; the caller holds g.mu.
+func (g *Gateway) trackerOf(service string) *mtreach.Tracker {
+	tracker := g.trackers[service]
+	if tracker == nil {
+		tracker = mtreach.NewTracker()
+		g.trackers[service] = tracker
+	}
+	return tracker
+}
+
+// recordConnected records that a new connection to an endpoint of a service was opened.
+func (g *Gateway) recordConnected(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.trackerOf(service).RecordConnected()
+}
+
+// recordReach records what the end of an attempt tells of the endpoint.
+func (g *Gateway) recordReach(
+	service string, target *mtscheduler.Endpoint, verdict mtscheduler.Verdict, delivery mtupstream.DeliveryStatus, now time.Time,
+) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case delivery == mtupstream.Answered:
+		g.trackerOf(service).RecordResponse()
+	case verdict == mtscheduler.Failed:
+		g.recordUnreached(service, target, delivery != mtupstream.NotSent, now)
+	}
+}
+
+// recordUnreached records a failure of an endpoint without a response; the caller holds g.mu.
+func (g *Gateway) recordUnreached(service string, target *mtscheduler.Endpoint, isConnected bool, now time.Time) {
+	tracker := g.trackerOf(service)
+	tracker.RecordFailure(target.ID, isConnected, now)
+	g.startCheck(service, now)
+}
+
+// startCheck starts a check of a service if one is due; the caller holds g.mu.
+func (g *Gateway) startCheck(service string, now time.Time) {
+	var addresses []string
+	for _, endpoint := range g.placerFor(service).Endpoints() {
+		if !endpoint.Draining {
+			addresses = append(addresses, endpoint.Address)
+		}
+	}
+	if !g.trackerOf(service).TakeCheck(len(addresses), now) {
+		return
+	}
+	rand.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	go g.check(service, addresses[:min(len(addresses), maxCheckedEndpoints)])
+}
+
+// check asks endpoints of a service whether this instance reaches them.
+func (g *Gateway) check(service string, addresses []string) {
+	path := "/"
+	if table := g.routeTable.Load(); table != nil {
+		path = table.Services[service].Health
+	}
+	responses := make(chan bool, len(addresses))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, address := range addresses {
+		go func() {
+			responses <- g.endpointPool.Check(ctx, address, path)
+		}()
+	}
+	responded := false
+	for range addresses {
+		if <-responses {
+			responded = true
+			break
+		}
+	}
+	g.endCheck(service, responded, time.Now())
+}
+
+// endCheck records the result of a check. If it changes whether the service is reached, the other instances are told.
+func (g *Gateway) endCheck(service string, responded bool, now time.Time) {
+	g.mu.Lock()
+	tracker := g.trackerOf(service)
+	changed := tracker.CheckEnded(responded, now)
+	if changed {
+		g.publishLostServices()
+	}
+	if changed && !responded {
+		g.handleLostService(service)
+	}
+	if !responded {
+		time.AfterFunc(mtreach.CheckInterval, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.startCheck(service, time.Now())
+		})
+	}
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	event := mtevent.ServiceLost
+	if responded {
+		event = mtevent.ServiceReached
+	}
+	event.Log(g.logger, logrus.Fields{
+		"service": service,
+	})
+	g.wakeRoleSelection()
+	g.mesh.SendHeartbeat(now)
+}
+
+// handleLostService rejects the waiting requests of a service that this instance no longer reaches, so that they are
+// passed on, and closes open connections; the caller holds g.mu.
+func (g *Gateway) handleLostService(service string) {
+	placer := g.placerFor(service)
+	for _, endpoint := range placer.Endpoints() {
+		g.endpointPool.CloseIdle(endpoint.Address)
+	}
+	for _, id := range placer.RemoveAll() {
+		if w := g.waiters[id]; w != nil {
+			delete(g.waiters, id)
+			w.refused <- &mtscheduler.Rejection{
+				Reason: reasonLost,
+			}
+		}
+	}
+}
+
+// publishLostServices updates the services that the row names as lost; the caller holds g.mu.
+func (g *Gateway) publishLostServices() {
+	var lost []string
+	for service, tracker := range g.trackers {
+		if tracker.IsCut() && len(lost) < maxLostServicesPerRow {
+			lost = append(lost, service)
+		}
+	}
+	slices.Sort(lost)
+	g.lostServices.Store(&lost)
+}
+
+// currentLostServices returns the services of which this instance reaches no endpoint, sorted.
+func (g *Gateway) currentLostServices() []string {
+	lost := g.lostServices.Load()
+	if lost == nil {
+		return nil
+	}
+	return *lost
+}
+
+// pickHelper returns an instance to pass a request for a service on to; found is false if this instance reaches the
+// service itself, or no other instance is known to.
+func (g *Gateway) pickHelper(service string, tried []string, now time.Time) (helper mtsteering.Candidate, found bool) {
+	if !slices.Contains(g.currentLostServices(), service) {
+		return mtsteering.Candidate{}, false
+	}
+	var receivers []mtsteering.Candidate
+	if current := g.receivers.Load(); current != nil {
+		receivers = current.receivers
+	}
+	helpers := mtsteering.SelectHelpers(g.candidates(now), receivers, g.settings().Instance, service)
+	helpers = slices.DeleteFunc(helpers, func(candidate mtsteering.Candidate) bool {
+		return slices.Contains(tried, candidate.Name)
+	})
+	if len(helpers) == 0 {
+		return mtsteering.Candidate{}, false
+	}
+	return helpers[rand.IntN(len(helpers))], true
+}
--- /dev/null
+++ b/internal/node/mtgateway/relay.go
@@ -0,0 +1,78 @@
+// A request that this instance can't serve itself is passed on to a helper, which handles it like one of its own callers.
+// It arrives there on a listener of its own, whose requests are never passed on again.
+
+package mtgateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtingress"
+	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtresponse"
+	"github.com/mangotack/mangotack/internal/core/mtsteering"
+)
+
+// relayHeaderBytes is what the instance that passes a request on adds to its header, at most.
+const relayHeaderBytes = 1 << 10
+
+// relayedCalls handles the requests that other instances pass on.
+type relayedCalls struct {
+	gateway *Gateway
+}
+
+// Handle answers one request; nil closes its connection without an answer.
+func (r relayedCalls) Handle(ctx context.Context, call *mtingress.Call) *mtingress.Response {
+	return r.gateway.handle(ctx, call, true)
+}
+
+// relayIngressLimits returns the limits for requests that other instances pass on.
+func (g *Gateway) relayIngressLimits() mtingress.Limits {
+	limits := g.ingressLimits()
+	if limits.Header > 0 {
+		limits.Header += relayHeaderBytes
+	}
+	return limits
+}
+
+// opaqueResponses reads nothing from the headers of a helper's responses: what endpoints state was meant for the helper.
+type opaqueResponses struct{}
+
+// ParseResponseHeader returns no metadata.
+func (opaqueResponses) ParseResponseHeader(int, http.Header) (metadata mtresponse.Metadata) {
+	return metadata
+}
+
+// relay passes the request on to a helper.
+func (a *activeRequest) relay(ctx context.Context, helper mtsteering.Candidate) attemptResult {
+	header := forwardedHeader(a.call.Request.Header)
+	// The helper names the endpoint that it expects.
+	a.gateway.headerCodec.SetRequestHeader(header, "", time.Until(a.deadline))
+	reply, delivery, err := a.gateway.relayPool.Send(ctx, mtupstream.Request{
+		Address:    helper.RelayAddress,
+		Method:     a.call.Request.Method,
+		Target:     a.call.Request.RequestURI,
+		Host:       a.call.Request.Host,
+		Header:     header,
+		Body:       a.call.Body,
+		Idempotent: a.route.Idempotent,
+	}, a.deadline)
+	a.gateway.metrics.countRelay(a.service, err)
+	return attemptResult{
+		helper:   helper.Name,
+		reply:    reply,
+		delivery: delivery,
+		err:      err,
+	}
+}
+
+// handleRelayReply passes the answer of a helper on to the caller. A failure waits for the attempts that still run.
+func (a *activeRequest) handleRelayReply(result attemptResult) *mtingress.Response {
+	if a.activeAttempts > 0 && result.reply.Status >= http.StatusInternalServerError {
+		a.closeReply(result.reply)
+		result.cancel()
+		return nil
+	}
+	return a.answerWithReply(result.reply, result.grant, result.cancel)
+}
--- /dev/null
+++ b/internal/node/mtgateway/relay_test.go
@@ -0,0 +1,136 @@
+package mtgateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtmesh"
+	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtroute"
+	"github.com/mangotack/mangotack/internal/core/mtscheduler"
+	"github.com/mangotack/mangotack/internal/core/mtsteering"
+	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
+)
+
+// newRelayTestRequest returns a request of an instance that passes it on to a helper.
+func newRelayTestRequest(t *testing.T, route *mtroute.Route, body string, handler http.HandlerFunc) (*activeRequest, mtsteering.Candidate) {
+	t.Helper()
+	helper := httptest.NewServer(handler)
+	t.Cleanup(helper.Close)
+	a := newTestRequest(route)
+	a.gateway.headerCodec = emptyHeaderCodec{}
+	a.gateway.relayPool = mtupstream.NewPool(opaqueResponses{}, nil)
+	a.service = "menu"
+	a.call.Body = []byte(body)
+	a.call.Request = &http.Request{
+		Method:     http.MethodPost,
+		Host:       "a.example",
+		RequestURI: "/menu/1?x=%2f",
+		Header:     http.Header{"Field": {"value"}},
+	}
+	return a, mtsteering.Candidate{
+		Name:         "helper",
+		RelayAddress: strings.TrimPrefix(helper.URL, "http://"),
+	}
+}
+
+func TestRequestAndLongAnswerPassThroughHelperUnchanged(t *testing.T) {
+	body, answer := strings.Repeat("request ", 50000), strings.Repeat("answer ", 500000)
+	a, helper := newRelayTestRequest(t, &mtroute.Route{}, body, func(writer http.ResponseWriter, request *http.Request) {
+		received, err := io.ReadAll(request.Body)
+		if err != nil || string(received) != body || request.RequestURI != "/menu/1?x=%2f" || request.Host != "a.example" ||
+			request.Header.Get("Field") != "value" {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = io.WriteString(writer, answer)
+	})
+	result := a.relay(context.Background(), helper)
+	require.NoError(t, result.err)
+	result.cancel = func() {}
+	response := a.handleResult(context.Background(), result)
+	require.Equal(t, http.StatusOK, response.Status)
+	remainder, err := io.ReadAll(response.Remainder)
+	require.NoError(t, err)
+	require.Equal(t, answer, string(response.Body)+string(remainder))
+}
+
+// The helper knows whether the request has run; what it says is passed on as it is.
+func TestRefusalOfHelperIsPassedOn(t *testing.T) {
+	a, helper := newRelayTestRequest(t, &mtroute.Route{}, "", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Retry-After", "0.4")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})
+	result := a.relay(context.Background(), helper)
+	result.cancel = func() {}
+	response := a.handleResult(context.Background(), result)
+	require.Equal(t, http.StatusServiceUnavailable, response.Status)
+	require.Equal(t, "0.4", response.Header.Get("Retry-After"))
+}
+
+func TestUnsafeRequestLostAtHelperIsNotSentAgain(t *testing.T) {
+	a, helper := newRelayTestRequest(t, &mtroute.Route{Attempts: 3}, "", func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	})
+	result := a.relay(context.Background(), helper)
+	require.Equal(t, mtupstream.MayHaveRun, result.delivery)
+	result.cancel = func() {}
+	response := a.handleResult(context.Background(), result)
+	require.Equal(t, http.StatusBadGateway, response.Status, "nothing is promised")
+}
+
+// newLostGateway returns a gateway that has lost the service menu, with a peer that reaches it.
+func newLostGateway(t *testing.T) *Gateway {
+	t.Helper()
+	gateway := newTestGateway()
+	mesh, err := mtmesh.NewMesh(&peerv1.Row{Instance: "self", Mesh: "127.0.0.1:0"}, nil, gateway, gateway.logger)
+	require.NoError(t, err)
+	gateway.mesh = mesh
+	gateway.trackerOf("menu").CheckEnded(false, time.Now())
+	gateway.publishLostServices()
+	return gateway
+}
+
+func TestRelayedRequestIsNotPassedOnAgain(t *testing.T) {
+	gateway := newLostGateway(t)
+	require.Equal(t, []string{"menu"}, gateway.currentLostServices())
+	a := newTestRequest(&mtroute.Route{})
+	a.gateway = gateway
+	a.service = "menu"
+	a.isRelayed = true
+	_, found := a.pickHelper(time.Now())
+	require.False(t, found)
+}
+
+func TestWithoutHelperRequestIsNotPassedOn(t *testing.T) {
+	gateway := newLostGateway(t)
+	_, found := gateway.pickHelper("menu", nil, time.Now())
+	require.False(t, found, "no other instance is known")
+}
+
+func TestWaitingRequestsOfLostServiceAreRejected(t *testing.T) {
+	gateway := newTestGateway()
+	now := time.Now()
+	gateway.HandleChanges(newEndpointChanges(0, 1, true), now)
+	w := &waiter{
+		refused: make(chan *mtscheduler.Rejection, 1),
+	}
+	gateway.waiters = map[uint64]*waiter{7: w}
+	require.Nil(t, gateway.placerFor("menu").Enqueue(&mtscheduler.Request{
+		ID:        7,
+		ArrivedAt: now,
+		Objective: now.Add(time.Minute),
+		Deadline:  now.Add(time.Minute),
+	}, now))
+	gateway.handleLostService("menu")
+	require.Equal(t, reasonLost, (<-w.refused).Reason)
+	require.Zero(t, gateway.placerFor("menu").Len())
+	require.Empty(t, gateway.waiters)
+}
--- a/internal/node/mtgateway/replication.go
+++ b/internal/node/mtgateway/replication.go
@@ -171,6 +171,7 @@
 		leaving:          row.GetLeaving(),
 		storeUnreachable: row.GetCut(),
 		lacksCPU:         row.GetStrained(),
+		lostServices:     len(row.GetLost()),
 	}
 	changed := g.feeds.peerFlags[row.GetInstance()] != flags
 	g.feeds.peerFlags[row.GetInstance()] = flags
--- a/internal/node/mtgateway/roles.go
+++ b/internal/node/mtgateway/roles.go
@@ -172,12 +172,15 @@
 			StoreUnreachable: row.GetCut(),
 			FeedAge:          oldestFeedAge(row),
 			CPUStarved:       row.GetStrained(),
+			RelayAddress:     row.GetRelay(),
+			LostServices:     row.GetLost(),
 			SinceHeartbeat:   instance.SinceHeartbeat,
 		}
 		if row.GetInstance() == g.settings().Instance {
 			candidate.Ready = g.isReady()
 			candidate.Leaving = g.leaving.Load()
 			candidate.CPUStarved = g.lacksCPU.Load()
+			candidate.LostServices = g.currentLostServices()
 			candidate.SinceHeartbeat = 0
 		}
 		candidates = append(candidates, candidate)
--- a/internal/node/mtgateway/settings.go
+++ b/internal/node/mtgateway/settings.go
@@ -13,6 +13,8 @@
 	Ready     string
 	Directory string
 	Mesh      string
+	// Relay is the listen address for requests that other instances pass on, or empty.
+	Relay string
 	// Metrics is the listen address of the metrics, or empty.
 	Metrics string
 	// Store is the address of the platform's store.
