soak: instances are cut from all endpoints, in three forms

Change: EndpointsCutReset, EndpointsCutSilent and EndpointsCutNew with a random source of their own; the proxies of endpoints treat the connections of one IP address apart. Only the endpoints count as having a fault, so the instance must answer and keep all other invariants. Before: no such kind.

--- a/internal/soak/mtfaultproxy/faultproxy.go
+++ b/internal/soak/mtfaultproxy/faultproxy.go
@@ -20,6 +20,20 @@
 	StallAnswers
 )
 
+// Cut is how a proxy treats the connections of one caller.
+type Cut int
+
+const (
+	// NoCut forwards them.
+	NoCut Cut = iota
+	// CutReset resets open and new connections.
+	CutReset
+	// CutSilent withholds all bytes of open and new connections until the cut ends.
+	CutSilent
+	// CutNew resets new connections and forwards open ones.
+	CutNew
+)
+
 const (
 	// forwardDelay is the time that Delay adds in each direction.
 	forwardDelay = 40 * time.Millisecond
@@ -34,16 +48,20 @@
 	listener net.Listener
 	server   string
 
-	mu      sync.Mutex
-	mode    Mode
+	mu   sync.Mutex
+	mode Mode
+	// cuts contains the cuts of callers by their IP addresses.
+	cuts    map[string]Cut
 	tunnels map[*tunnel]bool
 }
 
 // tunnel joins a connection from a caller with one to the server.
 type tunnel struct {
-	proxy  *Proxy
-	caller net.Conn
-	server net.Conn
+	proxy *Proxy
+	// callerIP is the IP address of the caller.
+	callerIP string
+	caller   net.Conn
+	server   net.Conn
 	// blackholed is set when nothing more is forwarded, with neither side closed.
 	blackholed bool
 }
@@ -57,6 +75,7 @@
 	proxy := &Proxy{
 		listener: listener,
 		server:   server,
+		cuts:     map[string]Cut{},
 		tunnels:  map[*tunnel]bool{},
 	}
 	go proxy.acceptConnections()
@@ -75,6 +94,25 @@
 	p.mode = mode
 }
 
+// SetCut changes how the connections of a caller with an IP address are treated, for open connections too.
+func (p *Proxy) SetCut(ip string, cut Cut) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cuts[ip] = cut
+	for t := range p.tunnels {
+		if t.callerIP == ip && cut == CutReset {
+			t.close(true)
+		}
+	}
+}
+
+// isNewConnectionReset reports whether a new connection of a caller is reset.
+func (p *Proxy) isNewConnectionReset(ip string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cuts[ip] == CutReset || p.cuts[ip] == CutNew
+}
+
 // ResetConnections ends all open connections with a TCP reset.
 func (p *Proxy) ResetConnections() {
 	p.mu.Lock()
@@ -110,9 +148,15 @@
 }
 
 func (p *Proxy) handleConnection(caller net.Conn) {
+	ip, _, _ := net.SplitHostPort(caller.RemoteAddr().String())
 	t := &tunnel{
-		proxy:  p,
-		caller: caller,
+		proxy:    p,
+		callerIP: ip,
+		caller:   caller,
+	}
+	if p.isNewConnectionReset(ip) {
+		t.reset(caller)
+		return
 	}
 	for t.isStalled(false) {
 		time.Sleep(stallPollInterval)
@@ -137,7 +181,7 @@
 func (t *tunnel) isStalled(fromServer bool) bool {
 	t.proxy.mu.Lock()
 	defer t.proxy.mu.Unlock()
-	return t.blackholed || t.proxy.mode == Stall || fromServer && t.proxy.mode == StallAnswers
+	return t.blackholed || t.proxy.mode == Stall || t.proxy.cuts[t.callerIP] == CutSilent || fromServer && t.proxy.mode == StallAnswers
 }
 
 func (t *tunnel) isDelayed() bool {
--- a/internal/soak/mtschedule/schedule.go
+++ b/internal/soak/mtschedule/schedule.go
@@ -25,6 +25,16 @@
 	Reload Kind = "reload"
 )
 
+// The cuts of an instance from all endpoints; Target is the index of the instance.
+const (
+	// EndpointsCutReset resets the open connections to endpoints and new ones.
+	EndpointsCutReset Kind = "endpoints-cut-reset"
+	// EndpointsCutSilent withholds all bytes to and from endpoints.
+	EndpointsCutSilent Kind = "endpoints-cut-silent"
+	// EndpointsCutNew resets new connections to endpoints.
+	EndpointsCutNew Kind = "endpoints-cut-new"
+)
+
 // The faults between callers and an instance; Target is the index of the instance.
 const (
 	// CallerReset resets the open connections.
@@ -186,14 +196,15 @@
 // NewSchedule draws the events of a seed and returns them in the order of their times; the same seed and parameters
 // give the same events.
 func NewSchedule(seed uint64, parameters Parameters) []Event {
-	events := slices.Concat(drawEvents(seed, parameters), drawRestores(seed, parameters), drawLimits(seed, parameters))
+	events := slices.Concat(drawEvents(seed, parameters), drawRestores(seed, parameters), drawLimits(seed, parameters),
+		drawEndpointsCuts(seed, parameters))
 	slices.SortStableFunc(events, func(a, b Event) int {
 		return cmp.Compare(a.At, b.At)
 	})
 	return events
 }
 
-// drawEvents draws all events but the restores of the store and the limits of endpoints.
+// drawEvents draws the events of the kinds in boundsByKind.
 func drawEvents(seed uint64, parameters Parameters) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
 	groupSizes := map[targetGroup]int{
@@ -280,3 +291,30 @@
 		})
 	}
 }
+
+// endpointsCutIntervals is the mean time between two cuts of instances from all endpoints, as a multiple of the mean time
+// between two events, and minEndpointsCutTime and maxEndpointsCutTime bound their duration.
+const (
+	endpointsCutIntervals = 12
+	minEndpointsCutTime   = second / 2
+	maxEndpointsCutTime   = 6 * second
+)
+
+// drawEndpointsCuts draws the cuts of instances from all endpoints from a random source of their own, as drawRestores does.
+func drawEndpointsCuts(seed uint64, parameters Parameters) []Event {
+	random := rand.New(rand.NewPCG(seed, 3))
+	kinds := []Kind{EndpointsCutReset, EndpointsCutSilent, EndpointsCutNew}
+	var events []Event
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * endpointsCutIntervals * float64(parameters.MeanInterval))
+		if at >= parameters.Duration {
+			return events
+		}
+		events = append(events, Event{
+			At:       at,
+			Kind:     kinds[random.IntN(len(kinds))],
+			Target:   random.IntN(parameters.Instances),
+			Duration: minEndpointsCutTime + time.Duration(random.Int64N(int64(maxEndpointsCutTime-minEndpointsCutTime))),
+		})
+	}
+}
--- a/internal/soak/mtschedule/schedule_test.go
+++ b/internal/soak/mtschedule/schedule_test.go
@@ -8,6 +8,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// separateKinds are the kinds that are drawn from random sources of their own.
+var separateKinds = []Kind{StoreRestore, EndpointLimit, EndpointsCutReset, EndpointsCutSilent, EndpointsCutNew}
+
 func TestScheduleIsDeterministicForASeed(t *testing.T) {
 	parameters := Parameters{
 		Duration:     time.Hour,
@@ -23,12 +26,14 @@
 		drawn[event.Kind] = true
 	}
 	require.True(t, drawn[StoreRestore])
-	require.True(t, drawn[EndpointLimit])
-	require.Len(t, drawn, len(boundsByKind)+2, "an hour draws each kind of event, restores of the store and limits")
+	for _, kind := range separateKinds {
+		require.True(t, drawn[kind], kind)
+	}
+	require.Len(t, drawn, len(boundsByKind)+len(separateKinds), "an hour draws each kind of event")
 }
 
 // Seeds that have found a fault must go on to draw the events with which they found it.
-func TestRestoresAndLimitsLeaveOtherEventsOfASeedAlone(t *testing.T) {
+func TestSeparateKindsLeaveOtherEventsOfASeedAlone(t *testing.T) {
 	parameters := Parameters{
 		Duration:     time.Hour,
 		Instances:    4,
@@ -36,7 +41,7 @@
 		MeanInterval: time.Second,
 	}
 	events := slices.DeleteFunc(NewSchedule(7, parameters), func(event Event) bool {
-		return event.Kind == StoreRestore || event.Kind == EndpointLimit
+		return slices.Contains(separateKinds, event.Kind)
 	})
 	require.Equal(t, drawEvents(7, parameters), events)
 }
--- a/internal/soak/mtsoak/faults.go
+++ b/internal/soak/mtsoak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -42,6 +43,13 @@
 	mtschedule.EndpointStallAnswers: mtfaultproxy.StallAnswers,
 }
 
+// endpointsCuts are the cuts of the proxies of endpoints by the kind of the event.
+var endpointsCuts = map[mtschedule.Kind]mtfaultproxy.Cut{
+	mtschedule.EndpointsCutReset:  mtfaultproxy.CutReset,
+	mtschedule.EndpointsCutSilent: mtfaultproxy.CutSilent,
+	mtschedule.EndpointsCutNew:    mtfaultproxy.CutNew,
+}
+
 // inject carries out one event and returns when its duration is over.
 func (r *run) inject(event mtschedule.Event) {
 	switch event.Kind {
@@ -67,6 +75,8 @@
 		r.injectConnectionFault(r.endpointNames[event.Target], r.endpoints[event.Target].proxy, event)
 	case mtschedule.EndpointRestart:
 		r.restartEndpoint(r.endpoints[event.Target], event.Duration)
+	case mtschedule.EndpointsCutReset, mtschedule.EndpointsCutSilent, mtschedule.EndpointsCutNew:
+		r.cutFromEndpoints(event)
 	case mtschedule.EndpointLimit:
 		r.limitEndpoint(r.endpoints[event.Target], event.Duration)
 	case mtschedule.EndpointDrain:
@@ -101,6 +111,20 @@
 	endFault(r.now() + faultMargin)
 }
 
+// cutFromEndpoints cuts an instance from all endpoints. Callers, the store and the other instances still reach it, so only
+// the endpoints have a fault. The end of a cut ends all cuts of the instance.
+func (r *run) cutFromEndpoints(event mtschedule.Event) {
+	ip := r.gateways[event.Target].Instance.IP
+	var group sync.WaitGroup
+	for _, e := range r.endpoints {
+		group.Go(func() {
+			r.withFault(e.name(), event.Duration, func() { e.proxy.SetCut(ip, endpointsCuts[event.Kind]) },
+				func() { e.proxy.SetCut(ip, mtfaultproxy.NoCut) })
+		})
+	}
+	group.Wait()
+}
+
 func (r *run) injectConnectionFault(component string, proxy *mtfaultproxy.Proxy, event mtschedule.Event) {
 	switch event.Kind {
 	case mtschedule.CallerReset, mtschedule.EndpointReset:
