--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -110,6 +110,9 @@
 
 // run returns the answer, or nil when the caller has disconnected.
 func (a *activeRequest) run(ctx context.Context) *mtingress.Response {
+	if a.mustDecline() {
+		return a.decline()
+	}
 	attemptsCtx, cancel := context.WithDeadline(ctx, a.deadline)
 	a.cancelAll = cancel
 	a.startAttempt(attemptsCtx, false)
@@ -288,6 +291,9 @@
 	if result.helper != "" {
 		a.activeRelays--
 	}
+	if isDeclined(result) {
+		return a.handleDeclinedRelay(ctx, result)
+	}
 	if result.delivery != mtupstream.NotSent {
 		a.sentAttempts++
 	} else {
--- a/internal/node/mtgateway/active_request_end.go
+++ b/internal/node/mtgateway/active_request_end.go
@@ -81,6 +81,9 @@
 		status = http.StatusGatewayTimeout
 		a.reason = reasonTimeout
 	}
+	if !a.mayHaveRun && a.mustDecline() {
+		a.reason = reasonLost
+	}
 	a.gateway.metrics.countRequest(a.service, a.reason, elapsed)
 	a.logRefusal(status, elapsed)
 	if a.mayHaveRun {
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtresponse"
 	"github.com/mangotack/mangotack/internal/core/mtsteering"
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
 // relayHeaderBytes is what the instance that passes a request on adds to its header, at most.
@@ -76,3 +78,36 @@
 	}
 	return a.answerWithReply(result.reply, result.grant, result.cancel)
 }
+
+// mustDecline reports whether the request was passed on to this instance, which does not reach its service either.
+func (a *activeRequest) mustDecline() bool {
+	return a.isRelayed && slices.Contains(a.gateway.currentLostServices(), a.service)
+}
+
+// decline tells the instance that passed the request on that it has not run here, so that it tries another helper.
+func (a *activeRequest) decline() *mtingress.Response {
+	a.gateway.metrics.countRequest(a.service, reasonLost, time.Since(a.call.ArrivedAt))
+	return newRefusalAnswer(http.StatusServiceUnavailable, reasonLost, minRetryDelay)
+}
+
+// isDeclined reports whether a helper has declined the request.
+func isDeclined(result attemptResult) bool {
+	return result.helper != "" && result.reply != nil && result.reply.Status == http.StatusServiceUnavailable &&
+		result.reply.Header.Get(mtoutcome.ReasonHeader) == reasonLost
+}
+
+// handleDeclinedRelay passes the request on to another helper, or answers it.
+func (a *activeRequest) handleDeclinedRelay(ctx context.Context, result attemptResult) *mtingress.Response {
+	a.closeReply(result.reply)
+	result.cancel()
+	a.unsentAttempts++
+	a.reason = reasonLost
+	if a.mayRetry(false) {
+		a.startAttempt(ctx, false)
+		return nil
+	}
+	if a.activeAttempts > 0 {
+		return nil
+	}
+	return a.answerFailure()
+}
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -134,3 +134,29 @@
 	require.Zero(t, gateway.placerFor("menu").Len())
 	require.Empty(t, gateway.waiters)
 }
+
+// The helper has lost the service as well: the request has not run there, and another helper may serve it.
+func TestHelperThatLostTheServiceDeclines(t *testing.T) {
+	gateway := newLostGateway(t)
+	gateway.metrics = newGatewayMetrics()
+	declining := newTestRequest(&mtroute.Route{})
+	declining.gateway = gateway
+	declining.service = "menu"
+	declining.isRelayed = true
+	declined := declining.run(context.Background())
+	require.Equal(t, http.StatusServiceUnavailable, declined.Status)
+
+	a, helper := newRelayTestRequest(t, &mtroute.Route{Attempts: 2}, "", func(writer http.ResponseWriter, _ *http.Request) {
+		for name, values := range declined.Header {
+			writer.Header()[name] = values
+		}
+		writer.WriteHeader(declined.Status)
+	})
+	result := a.relay(context.Background(), helper)
+	require.True(t, isDeclined(result))
+	result.cancel = func() {}
+	a.unsentAttempts = maxUnsentRetries
+	response := a.handleResult(context.Background(), result)
+	require.Equal(t, http.StatusServiceUnavailable, response.Status)
+	require.Zero(t, a.sentAttempts, "it counts as not sent")
+}
