Failing test: requests are refused because of the initial guess of a route's processing time

Cause: the guess (0.4 of the objective) counts as a sample, so with three true samples of 1 ms the estimate is a quarter of the guess, and from three samples on it may refuse.

--- a/internal/core/mtscheduler/load_test.go
+++ b/internal/core/mtscheduler/load_test.go
@@ -175,3 +175,51 @@
 		})
 	}
 }
+
+// serveWithTimeLeft sends requests of a route with an objective of 10 s and less time left, one after the other, to one
+// idle endpoint, and returns the number of those that are served.
+func serveWithTimeLeft(scheduler *Scheduler, endpoint *Endpoint, route string, timeLeft time.Duration, from time.Time) int {
+	const (
+		requests     = 25
+		interval     = 100 * time.Millisecond
+		objective    = 10 * time.Second
+		responseTime = time.Millisecond
+	)
+	served := 0
+	for n := range requests {
+		now := from.Add(time.Duration(n) * interval)
+		request := &Request{
+			ID:        uint64(n),
+			Route:     route,
+			ArrivedAt: now,
+			Objective: now.Add(objective),
+			Deadline:  now.Add(timeLeft),
+		}
+		scheduler.RecordReport(endpoint, LoadReport{Slots: 4, HostSlowdown: 1}, now)
+		if scheduler.Enqueue(request, now) != nil {
+			continue
+		}
+		assignments := scheduler.Schedule(now).Assignments
+		if len(assignments) == 0 {
+			scheduler.Cancel(request.ID)
+			continue
+		}
+		served++
+		scheduler.Complete(assignments[0], route, AttemptResult{
+			Verdict:      Served,
+			ResponseTime: responseTime,
+		}, now.Add(responseTime))
+	}
+	return served
+}
+
+// The load pattern: an instance has just started, or a configuration brings a new route. Callers have less time left than
+// the initial guess of a long objective, but the endpoint is idle and fast.
+func TestInitialGuessRefusesNobody(t *testing.T) {
+	for _, timeLeft := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond} {
+		endpoint := newEndpoint("one", 4)
+		scheduler := newTestScheduler(endpoint)
+		require.Equal(t, 25, serveWithTimeLeft(scheduler, endpoint, "first", timeLeft, t0), "an instance that starts, %s", timeLeft)
+		require.Equal(t, 25, serveWithTimeLeft(scheduler, endpoint, "new", timeLeft, t0.Add(time.Minute)), "a new route, %s", timeLeft)
+	}
+}
