From the third sample on, the initial guess is no part of the estimate of a route

What callers saw: refusals as 'overload' at an idle endpoint, after each start and on each new route, where they had less time left than a quarter of the guess. Cause: class 'default value taken for data'. The guess counted as one sample of the mean for good. Ruled out: a lower guess (it orders candidates and bounds waits, where too low is as wrong), refusing later (the guess would still be in the mean). Change: with the third sample, from which on the estimate may refuse, the guess is taken out of the mean.

--- a/internal/core/mtscheduler/deadline.go
+++ b/internal/core/mtscheduler/deadline.go
@@ -26,8 +26,8 @@
 	// otherwise.
 	minTrialInterval   = time.Second
 	minTrialRejections = 3
-	// minEstimateSamples is the number of responses that an estimate needs to reject requests: the initial guess
-	// rejects none.
+	// minEstimateSamples is the number of responses that an estimate needs to reject requests. The initial guess, which
+	// rejects none, is no part of it from then on.
 	minEstimateSamples = 3
 )
 
--- a/internal/core/mtscheduler/ewma.go
+++ b/internal/core/mtscheduler/ewma.go
@@ -20,6 +20,9 @@
 	// number of true samples.
 	hasInitialGuess bool
 	sampleCount     int
+	// initialGuess is removed from the mean with the sample number guessSamples; it stays if this is 0.
+	initialGuess float64
+	guessSamples int
 }
 
 func (e *ewma) add(sample float64) {
@@ -33,5 +36,9 @@
 		e.sampleCount++
 		weight = max(weight, 1/float64(e.sampleCount+1))
 	}
+	if e.guessSamples > 0 && e.sampleCount == e.guessSamples {
+		e.value += (sample - e.initialGuess) / float64(e.sampleCount)
+		return
+	}
 	e.value += weight * (sample - e.value)
 }
--- a/internal/core/mtscheduler/route_estimate.go
+++ b/internal/core/mtscheduler/route_estimate.go
@@ -34,6 +34,8 @@
 			value:           float64(processingTime),
 			initialized:     true,
 			hasInitialGuess: true,
+			initialGuess:    float64(processingTime),
+			guessSamples:    minEstimateSamples,
 			weight:          routeEstimateWeight,
 		},
 		meanResponseBytes: ewma{
@@ -50,6 +52,7 @@
 	if r.trialInFlight {
 		// The estimate had rejected all requests, and this one was served.
 		r.meanProcessingTime.value = float64(sample)
+		r.meanProcessingTime.initialGuess = float64(sample)
 		r.meanProcessingTime.sampleCount = 0
 		r.trialInFlight = false
 	}
