--- a/internal/core/mtregistry/late_entry_test.go
+++ b/internal/core/mtregistry/late_entry_test.go
@@ -86,3 +86,14 @@
 	require.True(t, registry.IsLeaving("one", 1))
 	require.Empty(t, registry.ExpireLapsed(t0.Add(time.Hour)))
 }
+
+func TestWithheldEntryThatIsRemovedIsNotUsed(t *testing.T) {
+	later := newEntry("one", 9)
+	later.Born = 2
+	registry := newRegistryInEra(later)
+	registry.StoreInterrupted(t0)
+	registry.Put(newEntry("one", 1), t0.Add(time.Second))
+	require.False(t, registry.Remove("one", t0.Add(2*time.Second)))
+	require.NotEmpty(t, registry.ExpireLapsed(t0.Add(time.Minute)))
+	require.False(t, registry.Has("one"))
+}
--- a/internal/core/mtregistry/registry.go
+++ b/internal/core/mtregistry/registry.go
@@ -90,8 +90,8 @@
 	at       time.Time
 }
 
-// follows reports whether the removal came after an entry of the process was written. An entry with the same count may be listed
-// again after it lapsed.
+// follows reports whether the removal came after an entry of the process was written. An entry with the same count may
+// be listed again after it lapsed.
 func (m removal) follows(entry Entry, era uint64) bool {
 	return entry.Seq < m.lastSeq || entry.Seq == m.lastSeq && (m.draining || m.era < era)
 }
@@ -199,6 +199,7 @@
 		return
 	}
 	found.expiresAt = time.Time{}
+	found.withheld = nil
 	found.isStoredDraining = older.Draining
 	if found.entry.Draining {
 		r.MarkLeaving(LeaveMark{
@@ -239,6 +240,7 @@
 	if found == nil {
 		return false
 	}
+	found.withheld = nil
 	if now.Before(r.unsteadyUntil) && !found.entry.Draining {
 		if found.expiresAt.IsZero() {
 			found.expiresAt = now
