A service without endpoints is not lost

What callers would see: an instance that had lost a service whose endpoints were then removed stays the last choice as a receiver for good. Cause: checks end when there is nothing to check, and the state stayed. Evidence: TestServiceWithoutEndpointsIsNotLost, red before (found on reading the diff), green after.

--- a/internal/node/mtgateway/reach.go
+++ b/internal/node/mtgateway/reach.go
@@ -73,6 +73,10 @@
 			addresses = append(addresses, endpoint.Address)
 		}
 	}
+	if len(addresses) == 0 {
+		g.forgetService(service)
+		return
+	}
 	if !g.trackerOf(service).TakeCheck(len(addresses), now) {
 		return
 	}
@@ -82,6 +86,19 @@
 	go g.check(service, addresses[:min(len(addresses), maxCheckedEndpoints)])
 }
 
+// forgetService ends the tracking of a service that has no endpoints, so that none is lost; the caller holds g.mu.
+func (g *Gateway) forgetService(service string) {
+	wasCut := g.trackerOf(service).IsCut()
+	delete(g.trackers, service)
+	if wasCut {
+		g.publishLostServices()
+		mtevent.ServiceReached.Log(g.logger, logrus.Fields{
+			"service":   service,
+			"endpoints": 0,
+		})
+	}
+}
+
 // check asks endpoints of a service whether this instance reaches them.
 func (g *Gateway) check(service string, addresses []string) {
 	path := "/"
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -160,3 +160,10 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.Status)
 	require.Zero(t, a.sentAttempts, "it counts as not sent")
 }
+
+// The endpoints of a lost service are removed, for example because the service is no longer configured.
+func TestServiceWithoutEndpointsIsNotLost(t *testing.T) {
+	gateway := newLostGateway(t)
+	gateway.startCheck("menu", time.Now())
+	require.Empty(t, gateway.currentLostServices())
+}
