Rows name the relay listener by its port; a suspicion that a check has refuted waits for 1 s

Change: rows carry the port, whose host is that of mesh; after a check that an endpoint has answered the next one waits for 1 s.

--- a/internal/core/mtreach/tracker.go
+++ b/internal/core/mtreach/tracker.go
@@ -19,7 +19,7 @@
 	// CheckInterval is the time between two checks of a service that is cut.
 	CheckInterval = 200 * time.Millisecond
 	// minSuspicionInterval is the time from a check that an endpoint has answered to the next one.
-	minSuspicionInterval = 500 * time.Millisecond
+	minSuspicionInterval = time.Second
 )
 
 // Tracker tracks whether one instance reaches the endpoints of one service. It is not safe for concurrent use.
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -195,7 +195,7 @@
 		Centre:      g.settings().Centre,
 		Calls:       g.settings().Calls,
 		Mesh:        g.settings().Mesh,
-		Relay:       g.settings().Relay,
+		Relay:       relayPort(g.settings().Relay),
 		Capacity:    float32(g.settings().Capacity),
 	}, g.settings().Seeds, g, g.logger)
 	if err != nil {
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -5,14 +5,17 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtresponse"
 	"github.com/mangotack/mangotack/internal/core/mtsteering"
+	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
 	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
@@ -29,6 +32,28 @@
 	return r.gateway.handle(ctx, call, true)
 }
 
+// relayPort returns the port of the listener for relayed requests as rows name it, or 0.
+func relayPort(address string) uint32 {
+	_, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0
+	}
+	return uint32(port)
+}
+
+// relayAddress returns the address at which an instance takes relayed requests, or an empty text.
+func relayAddress(row *peerv1.Row) string {
+	host, _, err := net.SplitHostPort(row.GetMesh())
+	if err != nil || row.GetRelay() == 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.FormatUint(uint64(row.GetRelay()), 10))
+}
+
 // relayIngressLimits returns the limits for requests that other instances pass on.
 func (g *Gateway) relayIngressLimits() mtingress.Limits {
 	limits := g.ingressLimits()
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -167,3 +167,10 @@
 	gateway.startCheck("menu", time.Now())
 	require.Empty(t, gateway.currentLostServices())
 }
+
+func TestRelayAddressOfRow(t *testing.T) {
+	require.EqualValues(t, 18622, relayPort("10.0.0.1:18622"))
+	require.Zero(t, relayPort(""))
+	require.Equal(t, "10.0.0.1:18622", relayAddress(&peerv1.Row{Mesh: "10.0.0.1:18620", Relay: 18622}))
+	require.Empty(t, relayAddress(&peerv1.Row{Mesh: "10.0.0.1:18620"}), "an instance of an older build")
+}
--- a/internal/node/mtgateway/roles.go
+++ b/internal/node/mtgateway/roles.go
@@ -172,7 +172,7 @@
 			StoreUnreachable: row.GetCut(),
 			FeedAge:          oldestFeedAge(row),
 			CPUStarved:       row.GetStrained(),
-			RelayAddress:     row.GetRelay(),
+			RelayAddress:     relayAddress(row),
 			LostServices:     row.GetLost(),
 			SinceHeartbeat:   instance.SinceHeartbeat,
 		}
