An instance with few requests notices a cut from all endpoints with the first ones of its data centre

Cause: a suspicion needed failures at two endpoints, 0.4 s each, and only the instance's own requests could raise it. Change: one failure is a suspicion where nothing has responded for 1 s; a row that names a service as lost, and did not before, makes its readers check it once.

--- a/internal/core/mtreach/tracker.go
+++ b/internal/core/mtreach/tracker.go
@@ -3,6 +3,8 @@
 // Some endpoints that crash look the same at first, so a suspicion is verified with new connections to others:
 //
 //	reached --failures at several endpoints without a response or a new connection in between--> suspected
+//	reached --a failure at one endpoint, while none has responded for quietTime--> suspected
+//	reached --another instance has lost the service--> suspected
 //	suspected --an endpoint responds to a check on a new connection--> reached
 //	suspected --no endpoint responds to a check--> cut
 //	cut --an endpoint responds to a check--> reached
@@ -14,6 +16,9 @@
 const (
 	// minFailedEndpoints is the number of endpoints that must fail to raise a suspicion, unless the service has fewer.
 	minFailedEndpoints = 2
+	// quietTime is the time without a response after which the failure of one endpoint raises a suspicion: an instance with
+	// few requests would otherwise need several of them to notice.
+	quietTime = time.Second
 	// maxFailureAge is the age up to which a failure counts.
 	maxFailureAge = 3 * time.Second
 	// CheckInterval is the time between two checks of a service that is cut.
@@ -28,9 +33,12 @@
 	// connected to since any could, each with the time of the last failure.
 	silent      map[string]time.Time
 	unconnected map[string]time.Time
-	cut         bool
-	checking    bool
-	nextCheck   time.Time
+	respondedAt time.Time
+	// isPeerCut is set when another instance has lost the service since the last check.
+	isPeerCut bool
+	cut       bool
+	checking  bool
+	nextCheck time.Time
 }
 
 // NewTracker returns a tracker of a service whose endpoints are reached.
@@ -42,8 +50,9 @@
 }
 
 // RecordResponse records that an endpoint has responded.
-func (t *Tracker) RecordResponse() {
+func (t *Tracker) RecordResponse(now time.Time) {
 	clear(t.silent)
+	t.respondedAt = now
 }
 
 // RecordConnected records that a new connection to an endpoint was opened.
@@ -59,6 +68,11 @@
 	}
 }
 
+// RecordPeerCut records that another instance has lost the service, perhaps for a reason that affects this one.
+func (t *Tracker) RecordPeerCut() {
+	t.isPeerCut = true
+}
+
 // IsCut reports whether the instance is partitioned from all endpoints of the service.
 func (t *Tracker) IsCut() bool {
 	return t.cut
@@ -76,7 +90,10 @@
 
 func (t *Tracker) isSuspected(endpoints int, now time.Time) bool {
 	needed := min(minFailedEndpoints, endpoints)
-	return countRecent(t.silent, now) >= needed || countRecent(t.unconnected, now) >= needed
+	if now.Sub(t.respondedAt) > quietTime {
+		needed = 1
+	}
+	return t.isPeerCut || countRecent(t.silent, now) >= needed || countRecent(t.unconnected, now) >= needed
 }
 
 // CheckEnded records the end of a check and reports whether it changes IsCut.
@@ -84,6 +101,7 @@
 	changed := t.cut == responded
 	t.cut = !responded
 	t.checking = false
+	t.isPeerCut = false
 	t.nextCheck = now.Add(CheckInterval)
 	if responded {
 		clear(t.silent)
--- a/internal/core/mtreach/tracker_test.go
+++ b/internal/core/mtreach/tracker_test.go
@@ -11,6 +11,7 @@
 
 func TestFailuresOfSeveralEndpointsAreChecked(t *testing.T) {
 	tracker := NewTracker()
+	tracker.RecordResponse(t0)
 	tracker.RecordFailure("one", false, t0)
 	require.False(t, tracker.TakeCheck(5, t0), "one endpoint may have failed alone")
 	tracker.RecordFailure("two", true, t0)
@@ -31,7 +32,7 @@
 func TestResponseEndsSuspicionOfSilence(t *testing.T) {
 	tracker := NewTracker()
 	tracker.RecordFailure("one", true, t0)
-	tracker.RecordResponse()
+	tracker.RecordResponse(t0)
 	tracker.RecordFailure("two", true, t0)
 	require.False(t, tracker.TakeCheck(5, t0))
 }
@@ -40,15 +41,15 @@
 func TestResponsesOnOpenConnectionsDoNotHideFailedNewOnes(t *testing.T) {
 	tracker := NewTracker()
 	tracker.RecordFailure("one", false, t0)
-	tracker.RecordResponse()
+	tracker.RecordResponse(t0)
 	tracker.RecordFailure("two", false, t0)
-	tracker.RecordResponse()
+	tracker.RecordResponse(t0)
 	require.True(t, tracker.TakeCheck(5, t0))
 
 	tracker = NewTracker()
 	tracker.RecordFailure("one", false, t0)
 	tracker.RecordConnected()
-	tracker.RecordResponse()
+	tracker.RecordResponse(t0)
 	tracker.RecordFailure("two", false, t0)
 	require.False(t, tracker.TakeCheck(5, t0), "a new connection was opened in between")
 }
@@ -57,6 +58,7 @@
 	tracker := NewTracker()
 	tracker.RecordFailure("one", false, t0)
 	now := t0.Add(maxFailureAge + time.Millisecond)
+	tracker.RecordResponse(now)
 	tracker.RecordFailure("two", false, now)
 	require.False(t, tracker.TakeCheck(5, now))
 }
@@ -95,3 +97,22 @@
 	require.True(t, tracker.CheckEnded(true, now))
 	require.False(t, tracker.IsCut())
 }
+
+// An instance with few requests must not need several of them to notice.
+func TestOneFailureOfQuietInstanceIsChecked(t *testing.T) {
+	tracker := NewTracker()
+	tracker.RecordResponse(t0)
+	now := t0.Add(quietTime + time.Millisecond)
+	tracker.RecordFailure("one", false, now)
+	require.True(t, tracker.TakeCheck(5, now))
+}
+
+// Most or all instances of a data centre may be cut, and only some of them have requests.
+func TestServiceThatAnotherInstanceHasLostIsCheckedOnce(t *testing.T) {
+	tracker := NewTracker()
+	tracker.RecordResponse(t0)
+	tracker.RecordPeerCut()
+	require.True(t, tracker.TakeCheck(5, t0))
+	tracker.CheckEnded(true, t0)
+	require.False(t, tracker.TakeCheck(5, t0.Add(time.Minute)))
+}
--- a/internal/node/mtgateway/reach.go
+++ b/internal/node/mtgateway/reach.go
@@ -52,7 +52,7 @@
 	defer g.mu.Unlock()
 	switch {
 	case delivery == mtupstream.Answered:
-		g.trackerOf(service).RecordResponse()
+		g.trackerOf(service).RecordResponse(now)
 	case verdict == mtscheduler.Failed:
 		g.recordUnreached(service, target, delivery != mtupstream.NotSent, now)
 	}
@@ -86,6 +86,20 @@
 	go g.check(service, addresses[:min(len(addresses), maxCheckedEndpoints)])
 }
 
+// checkLostServices checks services that another instance has lost, so that an instance without requests notices as well
+// that it is cut.
+func (g *Gateway) checkLostServices(services []string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, service := range services {
+		if g.placers[service] == nil {
+			continue
+		}
+		g.trackerOf(service).RecordPeerCut()
+		g.startCheck(service, now)
+	}
+}
+
 // forgetService ends the tracking of a service that has no endpoints, so that none is lost; the caller holds g.mu.
 func (g *Gateway) forgetService(service string) {
 	wasCut := g.trackerOf(service).IsCut()
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -174,3 +175,18 @@
 	require.Equal(t, "10.0.0.1:18622", relayAddress(&peerv1.Row{Mesh: "10.0.0.1:18620", Relay: 18622}))
 	require.Empty(t, relayAddress(&peerv1.Row{Mesh: "10.0.0.1:18620"}), "an instance of an older build")
 }
+
+// No request has shown it here, but another instance has lost the service.
+func TestInstanceWithoutRequestsNoticesThatItIsCut(t *testing.T) {
+	gateway := newTestGateway()
+	mesh, err := mtmesh.NewMesh(&peerv1.Row{Instance: "self", Mesh: "127.0.0.1:0"}, nil, gateway, gateway.logger)
+	require.NoError(t, err)
+	gateway.mesh = mesh
+	// The address of the endpoint is empty, so nothing connects to it.
+	gateway.HandleChanges(newEndpointChanges(0, 1, true), time.Now())
+	require.Empty(t, gateway.currentLostServices())
+	gateway.HandleRow(&peerv1.Row{Instance: "peer", Lost: []string{"menu", "unknown"}}, time.Now())
+	require.Eventually(t, func() bool {
+		return slices.Equal([]string{"menu"}, gateway.currentLostServices())
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/node/mtgateway/replication.go
+++ b/internal/node/mtgateway/replication.go
@@ -173,12 +173,16 @@
 		lacksCPU:         row.GetStrained(),
 		lostServices:     len(row.GetLost()),
 	}
-	changed := g.feeds.peerFlags[row.GetInstance()] != flags
+	previous := g.feeds.peerFlags[row.GetInstance()]
+	changed := previous != flags
 	g.feeds.peerFlags[row.GetInstance()] = flags
 	g.feeds.mu.Unlock()
 	if changed {
 		g.wakeRoleSelection()
 	}
+	if flags.lostServices > previous.lostServices {
+		g.checkLostServices(row.GetLost(), now)
+	}
 }
 
 // hasOffset reports whether a feed was read, here or by a peer that has sent its offset.
