Endpoints that leave or have asked for a pause are not asked whether they are reached

What endpoints would see: checks within the time for which they want nothing (Retry-After). Cause: checks left out leaving endpoints only. Found on reading the diff. Change: they go to usable endpoints. TestUnusableEndpointsAreNotChecked, red before, green after.

--- a/internal/node/mtgateway/reach.go
+++ b/internal/node/mtgateway/reach.go
@@ -69,7 +69,7 @@
 func (g *Gateway) startCheck(service string, now time.Time) {
 	var addresses []string
 	for _, endpoint := range g.placerFor(service).Endpoints() {
-		if !endpoint.Draining {
+		if endpoint.IsUsable(now) {
 			addresses = append(addresses, endpoint.Address)
 		}
 	}
@@ -100,7 +100,7 @@
 	}
 }
 
-// forgetService ends the tracking of a service that has no endpoints, so that none is lost; the caller holds g.mu.
+// forgetService ends the tracking of a service without endpoints that may be asked, so that it is not lost; the caller holds g.mu.
 func (g *Gateway) forgetService(service string) {
 	wasCut := g.trackerOf(service).IsCut()
 	delete(g.trackers, service)
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -190,3 +190,17 @@
 		return slices.Equal([]string{"menu"}, gateway.currentLostServices())
 	}, 10*time.Second, time.Millisecond)
 }
+
+// An endpoint that leaves, or has asked for a pause, gets no checks either.
+func TestUnusableEndpointsAreNotChecked(t *testing.T) {
+	for name, change := range map[string]func(target *mtscheduler.Endpoint){
+		"leaving":     func(target *mtscheduler.Endpoint) { target.Draining = true },
+		"backing off": func(target *mtscheduler.Endpoint) { target.ApplyBackoff(time.Minute, time.Now()) },
+	} {
+		gateway := newTestGateway()
+		gateway.HandleChanges(newEndpointChanges(0, 1, true), time.Now())
+		change(gateway.targets["e-1"])
+		gateway.checkLostServices([]string{"menu"}, time.Now())
+		require.Empty(t, gateway.trackers, name)
+	}
+}
