soak: settings files are replaced, not rewritten in place

Cause: a reload 4 ms after a start truncated the file while the new process read it (reload at 7.141 s, exit at 7.208 s, findings in the process's log). The fault is the harness's: a process that can't read its settings has to end, and the platform starts it again. Change: the file is written beside and renamed. No check is narrowed.

--- a/internal/soak/mtprocess/gateway.go
+++ b/internal/soak/mtprocess/gateway.go
@@ -46,11 +46,15 @@
 	return filepath.Join(g.directory, g.Instance.IP+suffix)
 }
 
-// writeSettings writes the settings file with the current slack; the mutex is held.
+// writeSettings replaces the settings file by one with the current slack, so that a process that starts meanwhile reads
+// either; the mutex is held.
 func (g *Gateway) writeSettings() error {
 	settings := g.Instance
 	settings.RetrySlack = g.retrySlack
-	return os.WriteFile(g.filePath(".yaml"), settings.YAML(), 0o600)
+	if err := os.WriteFile(g.filePath(".yaml.new"), settings.YAML(), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(g.filePath(".yaml.new"), g.filePath(".yaml"))
 }
 
 // Start starts a new process, which must be the only one.
