A gap in contact with the store is an interruption only if a read that was sent in it has failed

After a cut of all 103 instances some read the store at 22.1 s, then none for 2.5 and 3.6 s (reads that hung, listeners that waited); an endpoint that left at 23.9 s counted as lapsed on all 103 until 26.8 and 28.2 s. Ruled out: a longer gap alone (3.6 s was seen). Change: rows tell when the last read of an instance that failed was sent; a gap counts if such a time, its own or a peer's, lies in it. Before: TestTimeWithoutReadsIsNoInterruption red. Remaining: the time without reads itself, listed in the postmortem.

--- a/internal/core/mtreplication/follower.go
+++ b/internal/core/mtreplication/follower.go
@@ -54,8 +54,7 @@
 	// unreachableFailures is the number of consecutive failures from which on the store counts as unreachable.
 	unreachableFailures = 2
 	// minInterruption is the shortest time without contact to the store after which entries of endpoints may have
-	// expired. It is longer than another instance takes to replace the reader, and shorter than two heartbeats of an
-	// endpoint, whose entry expires after three.
+	// expired. It is shorter than two heartbeats of an endpoint, whose entry expires after three.
 	minInterruption = 2 * time.Second
 	// maxSleep is the longest time until Next is called again.
 	maxSleep = 250 * time.Millisecond
@@ -116,6 +115,10 @@
 	peerConfirmedAt time.Time
 	// resumedAt is the first time at which position was known to be the end of the feed after an interruption.
 	resumedAt time.Time
+	// failedReadAt is when the last read of this instance that failed was sent, and anyFailedReadAt the same of this
+	// instance or a peer.
+	failedReadAt    time.Time
+	anyFailedReadAt time.Time
 	// nextRead is the time before which no read is made.
 	nextRead time.Time
 	backoff  time.Duration
@@ -338,12 +341,33 @@
 	if !moment.After(f.confirmedAt) {
 		return
 	}
-	if !f.confirmedAt.IsZero() && moment.Sub(f.confirmedAt) > minInterruption {
+	// A gap in which no read failed is one in which no instance has read.
+	if !f.confirmedAt.IsZero() && moment.Sub(f.confirmedAt) > minInterruption && f.anyFailedReadAt.After(f.confirmedAt) {
 		f.resumedAt = moment
 	}
 	f.confirmedAt = moment
 }
 
+// RecordFailedRead records that a read of this instance, sent at the given time, has failed.
+func (f *Follower) RecordFailedRead(sent time.Time) {
+	if sent.After(f.failedReadAt) {
+		f.failedReadAt = sent
+	}
+	f.ObservePeerFailedRead(sent)
+}
+
+// ObservePeerFailedRead records that a read of a peer, sent at the given time, has failed.
+func (f *Follower) ObservePeerFailedRead(sent time.Time) {
+	if sent.After(f.anyFailedReadAt) {
+		f.anyFailedReadAt = sent
+	}
+}
+
+// FailedReadAt returns when the last read of this instance that failed was sent; zero without one.
+func (f *Follower) FailedReadAt() time.Time {
+	return f.failedReadAt
+}
+
 // ResumedAt returns the end of the last interruption, in which no instance that this one heard from reached the store, or
 // the zero time. Failed reads of this instance alone are no interruption.
 func (f *Follower) ResumedAt() time.Time {
--- a/internal/node/mtgateway/feeds.go
+++ b/internal/node/mtgateway/feeds.go
@@ -14,6 +14,9 @@
 	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
 )
 
+// maxFailedReadAge is the age up to which other instances are told of a read that failed.
+const maxFailedReadAge = 20 * time.Second
+
 // megabitsPerByte converts bytes to megabits.
 const megabitsPerByte = 8.0 / 1e6
 
@@ -158,7 +161,7 @@
 		return
 	}
 	if err != nil {
-		g.handleReadFailure(f, err, role, now)
+		g.handleReadFailure(f, err, role, sentAt, now)
 		return
 	}
 	g.applyMu.Lock()
@@ -217,7 +220,7 @@
 	return order == mtreplication.NewEra && batch.Snapshot
 }
 
-func (g *Gateway) handleReadFailure(f *feed, err error, role mtreplication.Role, now time.Time) {
+func (g *Gateway) handleReadFailure(f *feed, err error, role mtreplication.Role, sentAt, now time.Time) {
 	if errors.Is(err, mtreplication.ErrNotRetained) {
 		g.feeds.mu.Lock()
 		f.follower.RequireNewest()
@@ -234,6 +237,7 @@
 	}
 	g.feeds.mu.Lock()
 	f.follower.ReadFailed(role, now)
+	f.follower.RecordFailedRead(sentAt)
 	failures := f.follower.ConsecutiveFailures()
 	age := f.follower.Age(now)
 	g.feeds.mu.Unlock()
@@ -271,6 +275,12 @@
 		self.Standings = append(self.Standings, standing)
 		self.Cut = self.Cut || f.follower.IsStoreUnreachable()
 	}
+	self.Failed = 0
+	if failedAt := g.feeds.byNumber[mtreplication.EndpointFeed].follower.FailedReadAt(); !failedAt.IsZero() {
+		if age := now.Sub(failedAt); age < maxFailedReadAge {
+			self.Failed = uint64(max(1, age.Milliseconds()))
+		}
+	}
 	self.Capacity = float32(g.settings().Capacity)
 	self.Link = float32(g.settings().Link)
 	self.Traffic = float32(g.responseByteRate.perSecond(now) * megabitsPerByte)
--- a/internal/node/mtgateway/replication.go
+++ b/internal/node/mtgateway/replication.go
@@ -134,6 +134,12 @@
 
 // HandleRow records the feed offsets and role flags of another instance, and fetches changes that are missing here.
 func (g *Gateway) HandleRow(row *peerv1.Row, now time.Time) {
+	if failed := row.GetFailed(); failed > 0 {
+		sent := now.Add(-time.Duration(min(failed, math.MaxInt32)) * time.Millisecond)
+		g.feeds.mu.Lock()
+		g.feeds.byNumber[mtreplication.EndpointFeed].follower.ObservePeerFailedRead(sent)
+		g.feeds.mu.Unlock()
+	}
 	for number, standing := range row.GetStandings() {
 		f := g.feedByNumber(uint32(number))
 		if f == nil || !standing.GetKnown() {
--- a/internal/node/mtgateway/store_interruption_test.go
+++ b/internal/node/mtgateway/store_interruption_test.go
@@ -56,7 +56,7 @@
 	for range 10 {
 		now = now.Add(rowInterval)
 		gateway.HandleRow(newPeerRow(1), now)
-		gateway.handleReadFailure(feed, errNoAnswer, mtreplication.Listener, now)
+		gateway.handleReadFailure(feed, errNoAnswer, mtreplication.Listener, now, now)
 	}
 	gateway.HandleChanges(newEndpointRemoval(1), now)
 	require.Empty(t, gateway.targets)
@@ -71,7 +71,7 @@
 	gateway.HandleChanges(newEndpointChanges(0, 1, true), now)
 	for range 10 {
 		now = now.Add(rowInterval)
-		gateway.handleReadFailure(feed, errNoAnswer, mtreplication.Listener, now)
+		gateway.handleReadFailure(feed, errNoAnswer, mtreplication.Listener, now, now)
 	}
 	gateway.HandleRow(newPeerRow(1), now)
 	return gateway, now
@@ -82,7 +82,7 @@
 	gateway, returned := newInterruptedGateway()
 	removed := returned.Add(storeReturnBound - 100*time.Millisecond)
 	// Reads of this instance may fail for longer than the store is away.
-	gateway.handleReadFailure(gateway.feeds.byNumber[mtreplication.EndpointFeed], errNoAnswer, mtreplication.Listener, removed)
+	gateway.handleReadFailure(gateway.feeds.byNumber[mtreplication.EndpointFeed], errNoAnswer, mtreplication.Listener, removed, removed)
 	gateway.HandleChanges(newEndpointRemoval(1), removed)
 	gateway.expireEndpoints(removed.Add(drainBound - roleSelectionInterval))
 	require.Empty(t, gateway.targets)
@@ -99,3 +99,25 @@
 	gateway.expireEndpoints(returned.Add(time.Minute))
 	require.Same(t, target, gateway.targets["e-1"])
 }
+
+// The fleet has reached the store again, and for a while no instance reads it: reads that were sent before go on to fail,
+// and instances that have failed wait before they read again. An endpoint that is removed meanwhile has left.
+func TestTimeWithoutReadsIsNoInterruption(t *testing.T) {
+	gateway, returned := newInterruptedGateway()
+	feed := gateway.feeds.byNumber[mtreplication.EndpointFeed]
+	now := returned.Add(2 * storeReturnBound)
+	gateway.handleReadFailure(feed, errNoAnswer, mtreplication.Listener, returned.Add(-rowInterval), now)
+	gateway.HandleChanges(newEndpointRemoval(1), now)
+	require.Empty(t, gateway.targets)
+}
+
+// This instance has not read the store, but a peer has failed to.
+func TestFailedReadsOfPeerShowInterruption(t *testing.T) {
+	gateway := newTestGateway()
+	now := time.Now()
+	gateway.HandleChanges(newEndpointChanges(0, 1, true), now)
+	now = now.Add(2 * storeReturnBound)
+	gateway.HandleRow(&peerv1.Row{Instance: "peer", Failed: 1000}, now)
+	gateway.HandleChanges(newEndpointRemoval(1), now.Add(rowInterval))
+	require.NotEmpty(t, gateway.targets)
+}
