--- a/internal/core/mtbudget/budget.go
+++ b/internal/core/mtbudget/budget.go
@@ -68,6 +68,11 @@
 	return true
 }
 
+// Counts returns the numbers of calls and of extra attempts in the window.
+func (b *Budget) Counts(now time.Time) (calls, extra float64) {
+	return b.calls.Sum(now), b.extra.Sum(now)
+}
+
 // Remaining returns how many extra attempts the window still allows. It is negative after the slack was reduced or calls
 // have left the window.
 func (b *Budget) Remaining(now time.Time) float64 {
--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -371,10 +371,10 @@
 
 // takeExtraAttempt takes one retry or hedge from the budget and reports whether it is allowed.
 func (a *activeRequest) takeExtraAttempt(kind string, now time.Time) bool {
-	allowed, remaining := a.gateway.retryBudget(a.service).takeExtraAttempt(now)
+	allowed, usage := a.gateway.retryBudget(a.service).takeExtraAttempt(now)
 	a.gateway.metrics.countExtraAttempt(a.service, kind, allowed)
 	if allowed || !a.budgetDenied {
-		a.logExtraAttempt(kind, allowed, remaining, now)
+		a.logExtraAttempt(kind, allowed, usage, now)
 	}
 	a.budgetDenied = !allowed
 	return allowed
--- a/internal/node/mtgateway/active_request_log.go
+++ b/internal/node/mtgateway/active_request_log.go
@@ -62,15 +62,18 @@
 	}
 }
 
-// logExtraAttempt logs that a request needs another endpoint and whether the budget allows the attempt.
-func (a *activeRequest) logExtraAttempt(kind string, allowed bool, remaining float64, now time.Time) {
+// logExtraAttempt logs that a request needs another endpoint, whether the budget allows the attempt, and why.
+func (a *activeRequest) logExtraAttempt(kind string, allowed bool, usage budgetUsage, now time.Time) {
 	if !a.gateway.requestLog.allow(importanceFailure, now) {
 		return
 	}
 	fields := a.logFields(now.Sub(a.call.ArrivedAt), nil)
 	fields["kind"] = kind
 	fields["allowed"] = allowed
-	fields["left"] = int(remaining)
+	fields["left"] = int(usage.left)
+	fields["requests"] = int(usage.requests)
+	fields["extra"] = int(usage.extra)
+	fields["slack"] = int(usage.slack)
 	a.gateway.requestLog.write(mtevent.ExtraAttemptNeeded, fields)
 }
 
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -229,6 +229,7 @@
 		defer g.mu.Unlock()
 		return float64(len(g.targets))
 	})
+	g.metrics.addGauge("mangotack_gateway_retry_slack", g.retryBudgets.currentSlack)
 	g.metrics.addGauge("mangotack_gateway_limited_endpoints", func() float64 {
 		return float64(g.countLimitedEndpoints(time.Now()))
 	})
--- a/internal/node/mtgateway/retry_budgets.go
+++ b/internal/node/mtgateway/retry_budgets.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// currentSlack returns the number of extra attempts that each service may make regardless of its requests.
+func (b *retryBudgets) currentSlack() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slack
+}
+
 func (b *retryBudgets) setSlack(slack float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -80,12 +87,28 @@
 	b.budgets.forService(b.service).RecordCall(now)
 }
 
-// takeExtraAttempt takes an extra attempt from the budget; it returns whether the attempt is allowed and how many more
-// are left.
-func (b serviceRetryBudget) takeExtraAttempt(now time.Time) (allowed bool, left float64) {
+// budgetUsage is the state of a budget after an extra attempt was requested.
+type budgetUsage struct {
+	// requests and extra are the numbers of requests and extra attempts in the window.
+	requests float64
+	extra    float64
+	// slack is the number of extra attempts that this instance may make regardless of its requests, and left the number
+	// of those that it may still make.
+	slack float64
+	left  float64
+}
+
+// takeExtraAttempt takes an extra attempt from the budget and reports whether it is allowed.
+func (b serviceRetryBudget) takeExtraAttempt(now time.Time) (allowed bool, usage budgetUsage) {
 	b.budgets.mu.Lock()
 	defer b.budgets.mu.Unlock()
 	budget := b.budgets.forService(b.service)
 	allowed = budget.TryExtraAttempt(now)
-	return allowed, budget.Remaining(now)
+	requests, extra := budget.Counts(now)
+	return allowed, budgetUsage{
+		requests: requests,
+		extra:    extra,
+		slack:    b.budgets.slack,
+		left:     budget.Remaining(now),
+	}
 }
