Retries are earned, so restarts and changes of roles renew no budget

What callers saw: a service got more retries than the budget allows while many of its endpoints failed and instances were restarted or handed over their callers.

Cause: each instance bounded its extra attempts by a window over its own requests and a part of the slack. A process that starts has an empty window and its whole part; so has a new receiver, whatever the one before it has spent. And the ratio is renewed as well: one instance spends what ten seconds of requests allow, the next one, to which the callers move, does the same within the same window. Class: a bound over all that each one keeps only for itself, with a state that ends with the process.

Change: mtallowance. Each request earns a part of an attempt, time accrues a part of the slack, and only so much is saved; nothing is granted by a start, a role, a larger share or a changed setting. The sum over all instances follows for every window, whichever instances start or end in it. A process that was paused loses what it had saved. Shares below one attempt carry over, starting from a random part.

--- a/internal/core/mtbudget/budget.go
+++ b/internal/core/mtbudget/budget.go
@@ -7,51 +7,23 @@
 )
 
 const (
-	defaultWindow = 10 * time.Second
-	// defaultExtraRatio is the number of extra attempts allowed per call in the window.
-	defaultExtraRatio = 0.1
+	window = 10 * time.Second
+	// extraRatio is the number of extra attempts allowed per call in the window.
+	extraRatio = 0.1
 )
 
-// Budget bounds the extra attempts, retries and hedges, in a sliding window to a fraction of the calls; by default to a
-// tenth in 10 s.
+// Budget bounds the extra attempts, retries and hedges, in a sliding window to a tenth of the calls in 10 s.
 type Budget struct {
-	calls  *mtwindow.Window
-	extra  *mtwindow.Window
-	window time.Duration
-	// extraRatio is the number of extra attempts allowed per call.
-	extraRatio float64
-	// slack is the number of extra attempts allowed in a window regardless of the calls.
-	slack float64
-}
-
-// Option changes a budget under construction.
-type Option func(*Budget)
-
-// WithExtraRatio sets the number of extra attempts allowed per call, and the length of the window.
-func WithExtraRatio(extraRatio float64, window time.Duration) Option {
-	return func(b *Budget) {
-		b.extraRatio = extraRatio
-		b.window = window
-	}
+	calls *mtwindow.Window
+	extra *mtwindow.Window
 }
 
 // NewBudget returns a budget that has seen no call.
-func NewBudget(options ...Option) *Budget {
-	budget := &Budget{
-		window:     defaultWindow,
-		extraRatio: defaultExtraRatio,
-	}
-	for _, option := range options {
-		option(budget)
+func NewBudget() *Budget {
+	return &Budget{
+		calls: mtwindow.NewWindow(window),
+		extra: mtwindow.NewWindow(window),
 	}
-	budget.calls = mtwindow.NewWindow(budget.window)
-	budget.extra = mtwindow.NewWindow(budget.window)
-	return budget
-}
-
-// SetSlack sets how many extra attempts are allowed in a window in addition to the fraction of the calls.
-func (b *Budget) SetSlack(slack float64) {
-	b.slack = slack
 }
 
 // RecordCall counts the first attempt of a call.
@@ -68,13 +40,7 @@
 	return true
 }
 
-// Counts returns the numbers of calls and of extra attempts in the window.
-func (b *Budget) Counts(now time.Time) (calls, extra float64) {
-	return b.calls.Sum(now), b.extra.Sum(now)
-}
-
-// Remaining returns how many extra attempts the window still allows. It is negative after the slack was reduced or calls
-// have left the window.
+// Remaining returns how many extra attempts the window still allows. It is negative after calls have left the window.
 func (b *Budget) Remaining(now time.Time) float64 {
-	return b.extraRatio*b.calls.Sum(now) + b.slack - b.extra.Sum(now)
+	return extraRatio*b.calls.Sum(now) - b.extra.Sum(now)
 }
--- a/internal/core/mtsteering/budget_share.go
+++ b/internal/core/mtsteering/budget_share.go
@@ -1,11 +1,14 @@
 package mtsteering
 
 const (
-	// receiverRetrySlack and nonReceiverRetrySlack are the fractions of the retry slack that are split evenly over the
-	// receivers and over the other instances; their sum is below 1 because the views of instances differ for short
-	// times.
-	receiverRetrySlack    = 0.5
-	nonReceiverRetrySlack = 0.3
+	// receiverSavedSlack and receiverAccruedSlack are the fractions of the retry slack that are split evenly over the
+	// receivers: how much they may save, and how much accrues to them in a window. The others are those of all instances
+	// that are no receivers. Receivers whose messages are lost count themselves as receivers while others replace them,
+	// so the sum is at most 1 with twice the receivers' fractions.
+	receiverSavedSlack      = 0.2
+	receiverAccruedSlack    = 0.2
+	nonReceiverSavedSlack   = 0.1
+	nonReceiverAccruedSlack = 0.1
 	// receiverProbes and nonReceiverProbes are the same fractions for the budget of probes of an endpoint.
 	receiverProbes    = 0.7
 	nonReceiverProbes = 0.2
@@ -13,8 +16,10 @@
 
 // BudgetShare is the fraction, from 0 to 1, of the budgets of all instances that one instance may use.
 type BudgetShare struct {
-	// RetrySlack is the fraction of the retry slack.
-	RetrySlack float64
+	// SavedSlack is the fraction of the retry slack that the instance may save, and AccruedSlack the one that accrues to it
+	// in each window.
+	SavedSlack   float64
+	AccruedSlack float64
 	// Probes is the fraction of the probes of an endpoint.
 	Probes float64
 }
@@ -46,13 +51,15 @@
 	if !isReceiver {
 		known := float64(fleet.knownOrReachable())
 		return BudgetShare{
-			RetrySlack: nonReceiverRetrySlack / known,
-			Probes:     nonReceiverProbes / known,
+			SavedSlack:   nonReceiverSavedSlack / known,
+			AccruedSlack: nonReceiverAccruedSlack / known,
+			Probes:       nonReceiverProbes / known,
 		}
 	}
 	fraction := fleet.reachableFraction() / float64(max(1, fleet.Receivers))
 	return BudgetShare{
-		RetrySlack: receiverRetrySlack * fraction,
-		Probes:     receiverProbes * fraction,
+		SavedSlack:   receiverSavedSlack * fraction,
+		AccruedSlack: receiverAccruedSlack * fraction,
+		Probes:       receiverProbes * fraction,
 	}
 }
--- a/internal/node/mtgateway/active_request_log.go
+++ b/internal/node/mtgateway/active_request_log.go
@@ -71,8 +71,6 @@
 	fields["kind"] = kind
 	fields["allowed"] = allowed
 	fields["left"] = int(usage.left)
-	fields["requests"] = int(usage.requests)
-	fields["extra"] = int(usage.extra)
 	fields["slack"] = int(usage.slack)
 	a.gateway.requestLog.write(mtevent.ExtraAttemptNeeded, fields)
 }
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -278,7 +278,7 @@
 		previous.Calls, previous.Ready, previous.Directory, previous.Mesh
 	updated.Metrics, updated.Store, updated.Relay = previous.Metrics, previous.Store, previous.Relay
 	g.currentSettings.Store(&updated)
-	g.retryBudgets.setRatio(updated.RetryPart, updated.RetryWindow)
+	g.retryBudgets.setRatio(updated.RetryPart, updated.RetryWindow, now)
 	g.mesh.AddSeeds(updated.Seeds, now)
 	g.wakeRoleSelection()
 	mtevent.SettingsReloaded.Log(g.logger, logrus.Fields{
--- a/internal/node/mtgateway/retry_budgets.go
+++ b/internal/node/mtgateway/retry_budgets.go
@@ -1,70 +1,71 @@
 package mtgateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/mangotack/mangotack/internal/core/mtbudget"
+	"github.com/mangotack/mangotack/internal/core/mtallowance"
 )
 
 // retryBudgets bounds the extra attempts of each service; its mutex is a leaf.
 type retryBudgets struct {
-	mu       sync.Mutex
-	ratio    float64
-	window   time.Duration
-	slack    float64
-	services map[string]*mtbudget.Budget
+	mu     sync.Mutex
+	ratio  float64
+	window time.Duration
+	// savedSlack and accruedSlack are this instance's share of the slack of each service, as numbers of attempts.
+	savedSlack   float64
+	accruedSlack float64
+	services     map[string]*mtallowance.Allowance
 }
 
-// budgetSafetyFactor is the part of the allowed extra attempts that an instance uses, because its time window differs
-// from that of an external observer.
-const budgetSafetyFactor = 0.8
-
 func newRetryBudgets(ratio float64, window time.Duration) *retryBudgets {
 	return &retryBudgets{
-		ratio:    budgetSafetyFactor * ratio,
+		ratio:    ratio,
 		window:   window,
-		services: map[string]*mtbudget.Budget{},
+		services: map[string]*mtallowance.Allowance{},
 	}
 }
 
-// currentSlack returns the number of extra attempts that each service may make regardless of its requests.
+// currentSlack returns the number of extra attempts that each service may save up regardless of its requests.
 func (b *retryBudgets) currentSlack() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.slack
+	return b.savedSlack
 }
 
-func (b *retryBudgets) setSlack(slack float64) {
+// setSlack sets how many extra attempts each service may save up regardless of its requests, and how many accrue in a
+// window.
+func (b *retryBudgets) setSlack(saved, accrued float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slack = slack
-	for _, budget := range b.services {
-		budget.SetSlack(slack)
+	b.savedSlack = saved
+	b.accruedSlack = accrued
+	for _, allowance := range b.services {
+		allowance.SetSlack(saved, accrued, now)
 	}
 }
 
-// setRatio changes the ratio and the window; when either differs, all services start with empty windows.
-func (b *retryBudgets) setRatio(ratio float64, window time.Duration) {
+// setRatio changes the ratio and the window.
+func (b *retryBudgets) setRatio(ratio float64, window time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if budgetSafetyFactor*ratio == b.ratio && window == b.window {
-		return
-	}
-	b.ratio = budgetSafetyFactor * ratio
+	b.ratio = ratio
 	b.window = window
-	clear(b.services)
+	for _, allowance := range b.services {
+		allowance.SetRatio(ratio, window, now)
+	}
 }
 
-// forService returns the budget of a service, which it creates on first use; the caller holds the mutex.
-func (b *retryBudgets) forService(service string) *mtbudget.Budget {
-	budget := b.services[service]
-	if budget == nil {
-		budget = mtbudget.NewBudget(mtbudget.WithExtraRatio(b.ratio, b.window))
-		budget.SetSlack(b.slack)
-		b.services[service] = budget
+// forService returns the allowance of a service, which it creates on first use; the caller holds the mutex.
+func (b *retryBudgets) forService(service string, now time.Time) *mtallowance.Allowance {
+	allowance := b.services[service]
+	if allowance == nil {
+		allowance = mtallowance.New(b.ratio, b.window, rand.Float64())
+		allowance.SetSlack(b.savedSlack, b.accruedSlack, now)
+		b.services[service] = allowance
 	}
-	return budget
+	return allowance
 }
 
 // serviceRetryBudget is the budget of one service.
@@ -84,16 +85,13 @@
 func (b serviceRetryBudget) countRequest(now time.Time) {
 	b.budgets.mu.Lock()
 	defer b.budgets.mu.Unlock()
-	b.budgets.forService(b.service).RecordCall(now)
+	b.budgets.forService(b.service, now).RecordRequest(now)
 }
 
 // budgetUsage is the state of a budget after an extra attempt was requested.
 type budgetUsage struct {
-	// requests and extra are the numbers of requests and extra attempts in the window.
-	requests float64
-	extra    float64
-	// slack is the number of extra attempts that this instance may make regardless of its requests, and left the number
-	// of those that it may still make.
+	// slack is the number of extra attempts that this instance may save up regardless of its requests, and left the number
+	// of all that it may still make.
 	slack float64
 	left  float64
 }
@@ -102,13 +100,10 @@
 func (b serviceRetryBudget) takeExtraAttempt(now time.Time) (allowed bool, usage budgetUsage) {
 	b.budgets.mu.Lock()
 	defer b.budgets.mu.Unlock()
-	budget := b.budgets.forService(b.service)
-	allowed = budget.TryExtraAttempt(now)
-	requests, extra := budget.Counts(now)
+	allowance := b.budgets.forService(b.service, now)
+	allowed = allowance.Take(now)
 	return allowed, budgetUsage{
-		requests: requests,
-		extra:    extra,
-		slack:    b.budgets.slack,
-		left:     budget.Remaining(now),
+		slack: b.budgets.savedSlack,
+		left:  allowance.Saved(now),
 	}
 }
--- a/internal/node/mtgateway/roles.go
+++ b/internal/node/mtgateway/roles.go
@@ -214,7 +214,7 @@
 // updateBudgetShares sets this instance's shares of the retry budget and of the load probes.
 func (g *Gateway) updateBudgetShares(isReceiver bool, fleet mtsteering.FleetCounts, now time.Time) {
 	share := mtsteering.BudgetShareOf(isReceiver, fleet)
-	g.retryBudgets.setSlack(share.RetrySlack * g.settings().RetrySlack)
+	g.retryBudgets.setSlack(share.SavedSlack*g.settings().RetrySlack, share.AccruedSlack*g.settings().RetrySlack, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.maxProbesPerSecond = share.Probes * g.settings().Probes
