A relayed request earns retries at one instance only

While many instances are cut from endpoints, that is more than the ratio.

The test fails without the header.

--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -63,6 +63,8 @@
 	endpointsFull bool
 	// isRelayed is set when another instance has passed the request on, so that it must not be passed on again.
 	isRelayed bool
+	// isCounted is set once a retry budget, of this instance or of the one that passed the request on, has counted it.
+	isCounted bool
 	// triedHelpers are the instances that the request was passed on to, and activeRelays the number of them that have
 	// not answered.
 	triedHelpers []string
@@ -116,10 +118,7 @@
 	attemptsCtx, cancel := context.WithDeadline(ctx, a.deadline)
 	a.cancelAll = cancel
 	a.startAttempt(attemptsCtx, false)
-	if a.activeRelays == 0 {
-		// The helper counts the others.
-		a.gateway.retryBudget(a.service).countRequest(a.call.ArrivedAt)
-	}
+	a.countRequest()
 	hedgeTimer := time.NewTimer(a.hedgeDelay())
 	defer hedgeTimer.Stop()
 	for {
--- a/internal/node/mtgateway/handle.go
+++ b/internal/node/mtgateway/handle.go
@@ -57,6 +57,7 @@
 	}
 	request := newActiveRequest(g, call, route, table)
 	request.isRelayed = isRelayed
+	request.isCounted = isRelayed && takeRelayHeader(call.Request.Header)
 	return request.run(ctx)
 }
 
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -22,6 +22,34 @@
 // relayHeaderBytes is what the instance that passes a request on adds to its header, at most.
 const relayHeaderBytes = 1 << 10
 
+// relayCountedHeader marks a relayed request that the retry budget of the instance that passed it on has counted.
+const relayCountedHeader = "Mangotack-Relay-Counted"
+
+// takeRelayHeader removes what the instance that passed a request on has added to its header, and reports whether that
+// instance has counted the request.
+func takeRelayHeader(header http.Header) (isCounted bool) {
+	isCounted = header.Get(relayCountedHeader) != ""
+	header.Del(relayCountedHeader)
+	return isCounted
+}
+
+// setRelayHeader adds what the helper must know to the header of a request.
+func (a *activeRequest) setRelayHeader(header http.Header) {
+	header.Del(relayCountedHeader)
+	if a.isCounted {
+		header.Set(relayCountedHeader, "1")
+	}
+}
+
+// countRequest counts the request in the retry budget, unless another instance has counted it or will do so.
+func (a *activeRequest) countRequest() {
+	if a.isCounted || a.activeRelays > 0 {
+		return
+	}
+	a.isCounted = true
+	a.gateway.retryBudget(a.service).countRequest(a.call.ArrivedAt)
+}
+
 // relayedCalls handles the requests that other instances pass on.
 type relayedCalls struct {
 	gateway *Gateway
@@ -76,6 +104,7 @@
 	header := forwardedHeader(a.call.Request.Header)
 	// The helper names the endpoint that it expects.
 	a.gateway.headerCodec.SetRequestHeader(header, "", time.Until(a.deadline))
+	a.setRelayHeader(header)
 	reply, delivery, err := a.gateway.relayPool.Send(ctx, mtupstream.Request{
 		Address:    helper.RelayAddress,
 		Method:     a.call.Request.Method,
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -169,6 +169,43 @@
 	require.Empty(t, gateway.currentLostServices())
 }
 
+// A request that was sent to an endpoint before it was passed on earned retries at both instances.
+func TestRelayedRequestIsCountedOnce(t *testing.T) {
+	for name, isSentBefore := range map[string]bool{
+		"passed on at once":      false,
+		"sent to endpoint first": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			received := make(chan http.Header, 1)
+			a, helper := newRelayTestRequest(t, &mtroute.Route{}, "", func(_ http.ResponseWriter, request *http.Request) {
+				received <- request.Header
+			})
+			if !isSentBefore {
+				a.activeRelays = 1
+			}
+			a.gateway.retryBudgets = newRetryBudgets(1, time.Minute)
+			a.gateway.retryBudgets.setSlack(5, 0, time.Now())
+			a.countRequest()
+			a.relay(context.Background(), helper)
+
+			header := <-received
+			relayed := newTestRequest(&mtroute.Route{})
+			relayed.service = "menu"
+			relayed.gateway.retryBudgets = newRetryBudgets(1, time.Minute)
+			relayed.gateway.retryBudgets.setSlack(5, 0, time.Now())
+			relayed.isCounted = takeRelayHeader(header)
+			relayed.countRequest()
+			hasEarned := func(a *activeRequest) bool {
+				now := time.Now()
+				return a.gateway.retryBudgets.forService(a.service, now).Saved(now) > 0
+			}
+			require.Equal(t, isSentBefore, hasEarned(a))
+			require.Equal(t, !isSentBefore, hasEarned(relayed))
+			require.NotContains(t, header, relayCountedHeader, "endpoints do not get it")
+		})
+	}
+}
+
 func TestRelayAddressOfRow(t *testing.T) {
 	require.EqualValues(t, 18622, relayPort("10.0.0.1:18622"))
 	require.Zero(t, relayPort(""))
