--- /dev/null
+++ b/internal/core/mtfingerprint/doc.go
@@ -0,0 +1,2 @@
+// Package mtfingerprint identifies equal requests.
+package mtfingerprint
--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -8,6 +8,7 @@
 
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtfingerprint"
 	"github.com/mangotack/mangotack/internal/core/mtresponse"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
@@ -110,6 +111,11 @@
 	}
 }
 
+// fingerprint identifies the request among equal ones.
+func (a *activeRequest) fingerprint() mtfingerprint.Fingerprint {
+	return mtfingerprint.Of(a.call.Request, a.call.Body)
+}
+
 // run returns the answer, or nil when the caller has disconnected.
 func (a *activeRequest) run(ctx context.Context) *mtingress.Response {
 	if a.mustDecline() {
--- a/internal/node/mtgateway/active_request_log.go
+++ b/internal/node/mtgateway/active_request_log.go
@@ -94,6 +94,7 @@
 	}
 	if err != nil {
 		fields["error"] = err.Error()
+		fields["fingerprint"] = a.fingerprint().String()
 	}
 	a.gateway.requestLog.write(mtevent.AttemptFailed, fields)
 }
