--- a/internal/core/mtallowance/allowance.go
+++ b/internal/core/mtallowance/allowance.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// ForService returns an allowance for one more service with the attempts that this one, without requests, has saved.
+func (a *Allowance) ForService(carry float64) *Allowance {
+	service := *a
+	service.requests = mtwindow.NewWindow(a.window)
+	service.carry = carry
+	return &service
+}
+
 // SetRatio changes the ratio and the window. The attempts that are saved stay, up to the new bound.
 func (a *Allowance) SetRatio(ratio float64, window time.Duration, now time.Time) {
 	a.accrue(now)
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -230,6 +230,9 @@
 		return float64(len(g.targets))
 	})
 	g.metrics.addGauge("mangotack_gateway_retry_slack", g.retryBudgets.currentSlack)
+	g.metrics.addGauge("mangotack_gateway_retry_slack_saved", func() float64 {
+		return g.retryBudgets.savedByUnused(time.Now())
+	})
 	g.metrics.addGauge("mangotack_gateway_limited_endpoints", func() float64 {
 		return float64(g.countLimitedEndpoints(time.Now()))
 	})
--- a/internal/node/mtgateway/retry_budgets.go
+++ b/internal/node/mtgateway/retry_budgets.go
@@ -10,23 +10,28 @@
 
 // retryBudgets bounds the extra attempts of each service; its mutex is a leaf.
 type retryBudgets struct {
-	mu     sync.Mutex
-	ratio  float64
-	window time.Duration
-	// savedSlack and accruedSlack are this instance's share of the slack of each service, as numbers of attempts.
-	savedSlack   float64
-	accruedSlack float64
-	services     map[string]*mtallowance.Allowance
+	mu sync.Mutex
+	// savedSlack is the part of the slack of each service that this instance may save up, as a number of attempts.
+	savedSlack float64
+	// unused is the allowance of a service without requests so far, and services has those of the others.
+	unused   *mtallowance.Allowance
+	services map[string]*mtallowance.Allowance
 }
 
 func newRetryBudgets(ratio float64, window time.Duration) *retryBudgets {
 	return &retryBudgets{
-		ratio:    ratio,
-		window:   window,
+		unused:   mtallowance.New(ratio, window, 0),
 		services: map[string]*mtallowance.Allowance{},
 	}
 }
 
+// savedByUnused returns the number of extra attempts that a service without requests so far may make.
+func (b *retryBudgets) savedByUnused(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unused.Saved(now)
+}
+
 // currentSlack returns the number of extra attempts that each service may save up regardless of its requests.
 func (b *retryBudgets) currentSlack() float64 {
 	b.mu.Lock()
@@ -40,7 +45,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.savedSlack = saved
-	b.accruedSlack = accrued
+	b.unused.SetSlack(saved, accrued, now)
 	for _, allowance := range b.services {
 		allowance.SetSlack(saved, accrued, now)
 	}
@@ -50,19 +55,17 @@
 func (b *retryBudgets) setRatio(ratio float64, window time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio = ratio
-	b.window = window
+	b.unused.SetRatio(ratio, window, now)
 	for _, allowance := range b.services {
 		allowance.SetRatio(ratio, window, now)
 	}
 }
 
 // forService returns the allowance of a service, which it creates on first use; the caller holds the mutex.
-func (b *retryBudgets) forService(service string, now time.Time) *mtallowance.Allowance {
+func (b *retryBudgets) forService(service string) *mtallowance.Allowance {
 	allowance := b.services[service]
 	if allowance == nil {
-		allowance = mtallowance.New(b.ratio, b.window, rand.Float64())
-		allowance.SetSlack(b.savedSlack, b.accruedSlack, now)
+		allowance = b.unused.ForService(rand.Float64())
 		b.services[service] = allowance
 	}
 	return allowance
@@ -85,7 +88,7 @@
 func (b serviceRetryBudget) countRequest(now time.Time) {
 	b.budgets.mu.Lock()
 	defer b.budgets.mu.Unlock()
-	b.budgets.forService(b.service, now).RecordRequest(now)
+	b.budgets.forService(b.service).RecordRequest(now)
 }
 
 // budgetUsage is the state of a budget after an extra attempt was requested.
@@ -100,7 +103,7 @@
 func (b serviceRetryBudget) takeExtraAttempt(now time.Time) (allowed bool, usage budgetUsage) {
 	b.budgets.mu.Lock()
 	defer b.budgets.mu.Unlock()
-	allowance := b.budgets.forService(b.service, now)
+	allowance := b.budgets.forService(b.service)
 	allowed = allowance.Take(now)
 	return allowed, budgetUsage{
 		slack: b.budgets.savedSlack,
