A request that crashes endpoints is kept from further ones

Cause: each attempt and each request was judged alone. An instance knew that an endpoint had failed, but not under which request, sent it to the next one, and an equal one later; the others were told nothing. Class: a failure put down to the endpoint alone, when the request may be its cause. Evidence: event 510 with one fingerprint at 37 endpoints, from 5 instances, under 33 ids.

Change: an endpoint that ends a connection without an answer, refuses new ones, and whose service is reached otherwise, has crashed; all requests in flight there are suspected, by a fingerprint of method, host, target, credentials and body. Suspected ones are sent one at a time over all instances, unhedged, until an endpoint answers one, which clears them; that lets bystanders go on, also those that many callers send. Three crashes quarantine a request: 503, which is true, for 30 s, then one trial by one instance; each further crash doubles the time. Instances tell each other at once and by gossip, one that starts gets the evidence with the list of endpoints, and a record in the store outlasts a restart of all. At most 1,024 fingerprints are kept, for ten minutes beyond the last crash or quarantine. Older instances ignore all this.

--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -274,6 +274,22 @@
 		Text:   "request needs a further attempt on another endpoint",
 	}
 
+	RequestSuspected = Event{
+		Number: 515,
+		Level:  logrus.InfoLevel,
+		Text:   "endpoint crashed while it had the request; equal requests are sent one at a time until one is answered",
+	}
+	RequestQuarantined = Event{
+		Number: 516,
+		Level:  logrus.WarnLevel,
+		Text:   "several endpoints crashed while they had equal requests; further ones are refused for a time",
+	}
+	RequestCleared = Event{
+		Number: 517,
+		Level:  logrus.InfoLevel,
+		Text:   "endpoint answered a request under which others had crashed; equal ones are sent again",
+	}
+
 	CallHandlerPanicked = Event{
 		Number: 500,
 		Level:  logrus.ErrorLevel,
@@ -341,6 +357,9 @@
 	CallAnswered,
 	CallAbandoned,
 	ExtraAttemptNeeded,
+	RequestSuspected,
+	RequestQuarantined,
+	RequestCleared,
 }
 
 // Log writes the event to logger with its number, its text and fields.
--- a/internal/adapter/mtmesh/mesh.go
+++ b/internal/adapter/mtmesh/mesh.go
@@ -59,6 +59,10 @@
 	EndpointLimits(now time.Time) []*peerv1.Limit
 	// ApplyEndpointLimits applies such limits from another instance.
 	ApplyEndpointLimits(limits []*peerv1.Limit, now time.Time)
+	// Suspects returns evidence about requests under which endpoints have crashed, for the next message.
+	Suspects(now time.Time) []*peerv1.Suspect
+	// ApplySuspects applies such evidence from another instance.
+	ApplySuspects(suspects []*peerv1.Suspect, now time.Time)
 }
 
 // Mesh exchanges gossip with the other instances; it is safe for concurrent use.
@@ -249,6 +253,8 @@
 	return &peerv1.Gossip{
 		Marks:  m.listener.EndpointNotices(now),
 		Limits: m.listener.EndpointLimits(now),
+		// Only messages to a few instances have these.
+		Suspects: m.listener.Suspects(now),
 	}
 }
 
@@ -257,6 +263,7 @@
 	gossip := m.view.GossipMessage(maxRowsPerMessage, maxHeartbeatsPerMessage, m.random)
 	gossip.Marks = statements.GetMarks()
 	gossip.Limits = statements.GetLimits()
+	gossip.Suspects = statements.GetSuspects()
 	return proto.Marshal(gossip)
 }
 
@@ -327,11 +334,23 @@
 
 // BroadcastChanges sends changes of a feed to all other instances.
 func (m *Mesh) BroadcastChanges(changes *peerv1.Changes, now time.Time) {
-	message, err := proto.Marshal(&peerv1.Gossip{
+	m.broadcast(&peerv1.Gossip{
 		Changes: changes,
-	})
+	}, now)
+}
+
+// BroadcastSuspects sends evidence about requests under which endpoints have crashed to all other instances.
+func (m *Mesh) BroadcastSuspects(suspects []*peerv1.Suspect, now time.Time) {
+	m.broadcast(&peerv1.Gossip{
+		Suspects: suspects,
+	}, now)
+}
+
+// broadcast sends a message to all other instances.
+func (m *Mesh) broadcast(gossip *peerv1.Gossip, now time.Time) {
+	message, err := proto.Marshal(gossip)
 	if err != nil {
-		m.logger.WithError(err).Debug("encoding changes failed; they are not sent")
+		m.logger.WithError(err).Debug("encoding a message to all instances failed; it is not sent")
 		return
 	}
 	m.mu.Lock()
@@ -421,6 +440,9 @@
 	if limits := message.GetLimits(); len(limits) > 0 {
 		m.listener.ApplyEndpointLimits(limits, now)
 	}
+	if suspects := message.GetSuspects(); len(suspects) > 0 {
+		m.listener.ApplySuspects(suspects, now)
+	}
 	if changes := message.GetChanges(); changes != nil {
 		m.listener.HandleChanges(changes, now)
 	}
--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -87,6 +87,19 @@
 	return newConn(socket, address), nil
 }
 
+// Connect opens a connection to an address, which stays in the pool.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.acquire(ctx, Request{
+		Address:         address,
+		onNewConnection: true,
+	}, time.Now())
+	if err != nil {
+		return err
+	}
+	p.putUnused(c)
+	return nil
+}
+
 // popIdle removes and returns the most recently used idle connection to an address. It returns nil if there is none or
 // it has been idle for too long.
 func (p *Pool) popIdle(address string, idempotent bool, now time.Time) *conn {
--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
@@ -77,6 +78,9 @@
 	cancelAll      context.CancelFunc
 	attemptCancels map[int]context.CancelFunc
 	attemptCount   int
+
+	fingerprintOnce  sync.Once
+	fingerprintValue mtfingerprint.Fingerprint
 }
 
 // attemptResult is the result of one attempt.
@@ -111,11 +115,6 @@
 	}
 }
 
-// fingerprint identifies the request among equal ones.
-func (a *activeRequest) fingerprint() mtfingerprint.Fingerprint {
-	return mtfingerprint.Of(a.call.Request, a.call.Body)
-}
-
 // run returns the answer, or nil when the caller has disconnected.
 func (a *activeRequest) run(ctx context.Context) *mtingress.Response {
 	if a.mustDecline() {
@@ -179,12 +178,7 @@
 	request := a.placementRequest()
 	request.IsHedge = isHedge
 	go func() {
-		result := attemptResult{}
-		if isPassedOn {
-			result = a.relay(attemptCtx, helper)
-		} else {
-			result = a.assignAndSend(attemptCtx, request)
-		}
+		result := a.attempt(attemptCtx, request, helper, isPassedOn)
 		result.attempt = attempt
 		result.cancel = cancel
 		result.isHedge = isHedge
@@ -192,6 +186,26 @@
 	}()
 }
 
+// attempt passes the request on to a helper, or sends it to an endpoint once it may be sent.
+func (a *activeRequest) attempt(
+	ctx context.Context, request *mtscheduler.Request, helper mtsteering.Candidate, isPassedOn bool,
+) attemptResult {
+	if isPassedOn {
+		// The helper decides whether it may be sent.
+		return a.relay(ctx, helper)
+	}
+	isTrial, rejection := a.admit(ctx)
+	if rejection != nil {
+		return attemptResult{
+			refusal: rejection,
+		}
+	}
+	if isTrial {
+		defer a.endTrial()
+	}
+	return a.assignAndSend(ctx, request, isTrial)
+}
+
 // pickHelper returns the instance to pass the request on to, if this one can't serve it.
 func (a *activeRequest) pickHelper(now time.Time) (helper mtsteering.Candidate, found bool) {
 	if a.isRelayed {
@@ -200,8 +214,8 @@
 	return a.gateway.pickHelper(a.service, a.triedHelpers, now)
 }
 
-// assignAndSend waits for an endpoint and sends the request to it.
-func (a *activeRequest) assignAndSend(ctx context.Context, request *mtscheduler.Request) attemptResult {
+// assignAndSend waits for an endpoint and sends the request to it; isTrial is set for a suspected request.
+func (a *activeRequest) assignAndSend(ctx context.Context, request *mtscheduler.Request, isTrial bool) attemptResult {
 	enqueued := time.Now()
 	grant, refusal := a.gateway.assignEndpoint(ctx, a.service, request)
 	if refusal != nil {
@@ -211,11 +225,11 @@
 	}
 	a.grants.add(grant)
 	a.gateway.metrics.observeWait(a.service, time.Since(enqueued))
-	return a.send(ctx, grant)
+	return a.send(ctx, grant, isTrial)
 }
 
-// send sends the request to the endpoint of a grant.
-func (a *activeRequest) send(ctx context.Context, grant mtscheduler.Assignment) attemptResult {
+// send sends the request to the endpoint of a grant; isTrial is set for a suspected request.
+func (a *activeRequest) send(ctx context.Context, grant mtscheduler.Assignment, isTrial bool) attemptResult {
 	started := time.Now()
 	header := forwardedHeader(a.call.Request.Header)
 	a.gateway.headerCodec.SetRequestHeader(header, grant.Endpoint.ID, time.Until(a.deadline))
@@ -235,7 +249,7 @@
 			a.gateway.recordConnected(a.service)
 		},
 		MaySend: func() bool {
-			return a.gateway.isGrantValid(grant, started, time.Now())
+			return a.gateway.isGrantValid(grant, started, time.Now()) && (isTrial || !a.isSuspected())
 		},
 	}, a.deadline)
 	now := time.Now()
@@ -256,6 +270,7 @@
 	}, statement, now)
 	a.gateway.recordReach(a.service, grant.Endpoint, verdict, delivery, now)
 	a.gateway.metrics.countAttempt(a.service, verdict)
+	a.collectEvidence(ctx, grant, reply, delivery)
 	if verdict == mtscheduler.Failed || verdict == mtscheduler.Shed {
 		a.logAttemptFailure(grant, reply, err, started, now)
 	}
@@ -267,6 +282,18 @@
 	}
 }
 
+// collectEvidence records what the end of an attempt tells of whether the request crashes endpoints.
+func (a *activeRequest) collectEvidence(
+	ctx context.Context, grant mtscheduler.Assignment, reply *mtupstream.Response, delivery mtupstream.DeliveryStatus,
+) {
+	switch {
+	case delivery == mtupstream.Answered && !reply.Metadata.NotRun && reply.Remainder == nil:
+		a.recordAnswered(time.Now())
+	case delivery == mtupstream.MayHaveRun && ctx.Err() == nil && a.gateway.hasCrashed(a.service, grant.Endpoint):
+		a.recordCrash(grant, time.Now())
+	}
+}
+
 func (a *activeRequest) verdict(
 	ctx context.Context, reply *mtupstream.Response, delivery mtupstream.DeliveryStatus,
 ) mtscheduler.Verdict {
@@ -368,7 +395,7 @@
 		return false
 	}
 	now := time.Now()
-	if !now.Before(a.deadline) {
+	if !now.Before(a.deadline) || a.isQuarantined(now) {
 		return false
 	}
 	return a.sentAttempts == 0 || a.takeExtraAttempt("retry", now)
@@ -388,7 +415,7 @@
 // tryHedge sends an idempotent request to a second endpoint with a free slot while the first has not answered.
 func (a *activeRequest) tryHedge(ctx context.Context) {
 	now := time.Now()
-	if !a.route.Idempotent || a.activeAttempts != 1 || a.activeRelays > 0 || a.sentAttempts+2 > a.route.Attempts {
+	if !a.route.Idempotent || a.activeAttempts != 1 || a.activeRelays > 0 || a.sentAttempts+2 > a.route.Attempts || a.isSuspected() {
 		return
 	}
 	if _, hasHelper := a.pickHelper(now); !hasHelper && !a.gateway.hasFreeSlot(a.service, now) {
--- a/internal/node/mtgateway/active_request_test.go
+++ b/internal/node/mtgateway/active_request_test.go
@@ -26,6 +26,7 @@
 			metrics:      newGatewayMetrics(),
 			requestLog:   newRequestLog(logger),
 			retryBudgets: newRetryBudgets(0, time.Second),
+			quarantine:   newRequestQuarantine(),
 		},
 		call: &mtingress.Call{
 			ArrivedAt: time.Now(),
--- a/internal/node/mtgateway/discovery.go
+++ b/internal/node/mtgateway/discovery.go
@@ -38,6 +38,9 @@
 		return
 	}
 	for _, change := range batch.Changes {
+		if change.Key != membersKey {
+			continue
+		}
 		var addresses []string
 		if err := json.Unmarshal(change.Value, &addresses); err != nil {
 			g.logger.WithError(err).Debug("could not decode a record of members; skipping it")
--- a/internal/node/mtgateway/endpoint_notices_test.go
+++ b/internal/node/mtgateway/endpoint_notices_test.go
@@ -177,7 +177,7 @@
 	a.deadline = time.Now().Add(time.Second)
 	a.call.Request = &http.Request{Method: http.MethodPost, RequestURI: "/", Header: http.Header{}}
 	target := &mtscheduler.Endpoint{ID: "e", Address: listener.Addr().String(), Draining: true}
-	result := a.send(context.Background(), mtscheduler.Assignment{Endpoint: target})
+	result := a.send(context.Background(), mtscheduler.Assignment{Endpoint: target}, false)
 	require.ErrorIs(t, result.err, mtupstream.ErrSendNotAllowed)
 	require.Equal(t, mtupstream.NotSent, result.delivery)
 	require.False(t, target.IsEjected(time.Now()), "the endpoint has not failed")
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -45,6 +45,7 @@
 		requestLog:    newRequestLog(logger),
 		recordDecoder: numericDecoder{},
 		feeds:         newFeedSet(time.Now()),
+		quarantine:    newRequestQuarantine(),
 		endpointPool:  mtupstream.NewPool(nil, nil),
 		registry:      mtregistry.NewRegistry(),
 		targets:       map[string]*mtscheduler.Endpoint{},
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -5,7 +5,7 @@
 //	Gateway.mu         registry of endpoints, placers, waiting requests
 //	mtmesh.Mesh        rows of the instances; CompleteRow takes feedSet.mu under it
 //	feedSet.mu         feeds
-//	retryBudgets, callerPatience, mtupstream.Pool   leaves
+//	retryBudgets, requestQuarantine, callerPatience, mtupstream.Pool   leaves
 
 package mtgateway
 
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
@@ -57,7 +58,10 @@
 	feeds           *feedSet
 	retryBudgets    *retryBudgets
 	callerPatience  *callerPatience
-	requestRate     sharedRate
+	quarantine      *requestQuarantine
+	// crashChecks are the checks whether an endpoint has crashed, by its process.
+	crashChecks singleflight.Group
+	requestRate sharedRate
 	// responseByteRate is the number of bytes sent to callers a second.
 	responseByteRate sharedRate
 	ingress          *mtingress.Server
@@ -139,6 +143,7 @@
 		feeds:          newFeedSet(now),
 		retryBudgets:   newRetryBudgets(settings.RetryPart, settings.RetryWindow),
 		callerPatience: newCallerPatience(),
+		quarantine:     newRequestQuarantine(),
 		peerClient: &http.Client{
 			Transport: boundedTransport{
 				&http.Transport{
@@ -229,6 +234,15 @@
 		defer g.mu.Unlock()
 		return float64(len(g.targets))
 	})
+	for state, index := range map[string]int{
+		"suspected":   0,
+		"quarantined": 1,
+	} {
+		g.metrics.addGauge(fmt.Sprintf(`mangotack_gateway_suspects{state=%q}`, state), func() float64 {
+			suspected, quarantined := g.quarantine.counts(time.Now())
+			return float64([]int{suspected, quarantined}[index])
+		})
+	}
 	g.metrics.addGauge("mangotack_gateway_retry_slack", g.retryBudgets.currentSlack)
 	g.metrics.addGauge("mangotack_gateway_retry_slack_saved", func() float64 {
 		return g.retryBudgets.savedByUnused(time.Now())
@@ -363,6 +377,7 @@
 			g.endpointPool.CloseExpired(now)
 			g.relayPool.CloseExpired(now)
 			g.expireNotices(now)
+			g.quarantine.expire(now)
 			g.maintainMembers(ctx, now)
 		}
 	}
--- a/internal/node/mtgateway/metrics.go
+++ b/internal/node/mtgateway/metrics.go
@@ -60,6 +60,11 @@
 	).Inc()
 }
 
+// countCrash counts a crash of an endpoint for each request that was in flight there.
+func (m *gatewayMetrics) countCrash(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mangotack_gateway_crashes_total{service=%q}`, service)).Inc()
+}
+
 // observeWait records how long a request waited for its endpoint.
 func (m *gatewayMetrics) observeWait(service string, wait time.Duration) {
 	m.set.GetOrCreateHistogram(
--- a/internal/node/mtgateway/replication.go
+++ b/internal/node/mtgateway/replication.go
@@ -108,6 +108,7 @@
 	if notices := changes.GetMarks(); len(notices) > 0 {
 		g.ApplyEndpointNotices(notices, now)
 	}
+	g.ApplySuspects(changes.GetSuspects(), now)
 	age := time.Duration(changes.GetAge()) * time.Millisecond
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
@@ -270,6 +271,7 @@
 	if mtreplication.Feed(request.GetFeed()) == mtreplication.EndpointFeed {
 		changes.Marks = g.endpointNotices(math.MaxInt, time.Now())
 		changes.Limits = g.endpointLimits(math.MaxInt, time.Now())
+		changes.Suspects = g.suspects(g.suspectFingerprints(), time.Now())
 	}
 	f := g.feedByNumber(request.GetFeed())
 	if f == nil {
--- a/internal/node/mtgateway/roles.go
+++ b/internal/node/mtgateway/roles.go
@@ -49,6 +49,7 @@
 	clockSteps := mtclock.StepDetector{}
 	due := time.Now()
 	lastSelection := time.Time{}
+	hasReadQuarantine := false
 	for {
 		var now time.Time
 		select {
@@ -76,6 +77,10 @@
 		if remaining := g.selectRoles(now); remaining > 0 {
 			delay = min(delay, remaining)
 		}
+		if g.currentStoreRole() == mtreplication.Reader && !hasReadQuarantine {
+			hasReadQuarantine = true
+			go g.readQuarantine(ctx)
+		}
 		if g.needsDiscovery(now) {
 			go g.discoverPeers(ctx, now)
 		}
