An entry or report with a very large number no longer keeps the scheduler busy without end

What callers saw: nothing any more. An endpoint's entry that states 9e18 slots kept the instance computing the best concurrency slot by slot, with the lock of the scheduler held; it answered no request.

Cause: a number from outside bounds a loop, and the concurrency that follows from reports sizes a slice.

--- a/internal/core/mtscheduler/concurrency_curve.go
+++ b/internal/core/mtscheduler/concurrency_curve.go
@@ -17,6 +17,8 @@
 	// minSlowdownSample and maxSlowdownSample bound the samples, so that single outliers don't distort a mean.
 	minSlowdownSample = 0.3
 	maxSlowdownSample = 4.0
+	// maxUsedSlots is the number of slots of an endpoint that an instance uses at most.
+	maxUsedSlots = 1024
 )
 
 // concurrencyCurve is how many times longer a request takes at a number of concurrent requests than alone.
@@ -34,7 +36,7 @@
 }
 
 func (c *concurrencyCurve) addSample(concurrency int, slowdown float64) {
-	if concurrency < 1 {
+	if concurrency < 1 || concurrency > maxUsedSlots {
 		return
 	}
 	clear(c.optimalBySlots)
@@ -77,7 +79,7 @@
 
 func (c *concurrencyCurve) computeOptimalConcurrency(slots int) int {
 	optimal, maxThroughput := 1, 1.0
-	for concurrency := 2; concurrency <= slots; concurrency++ {
+	for concurrency := 2; concurrency <= min(slots, maxUsedSlots); concurrency++ {
 		if throughput := float64(concurrency) / c.slowdown(concurrency, slots); throughput >
 			minThroughputGain*maxThroughput {
 			optimal, maxThroughput = concurrency, throughput
