A configuration with a very large number of attempts no longer ends the instances

The first request of a route with 1e9 attempts reserved memory for as many results; each instance that got one ended, out of memory. Change: a table bounds the attempts of its routes by 64. The test failed before.

--- a/internal/core/mtroute/route.go
+++ b/internal/core/mtroute/route.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// MaxAttempts bounds the endpoints that one request may be sent to, whatever its route states.
+const MaxAttempts = 64
+
 // Route is the configuration of the requests of one host and path prefix.
 type Route struct {
 	Name   string
@@ -18,7 +21,7 @@
 	Objective time.Duration
 	// Priority orders routes by urgency; 0 is the most urgent.
 	Priority int
-	// Attempts is the maximum number of endpoints that one request may be sent to.
+	// Attempts is the maximum number of endpoints that one request may be sent to; NewTable bounds it by MaxAttempts.
 	Attempts int
 	// Parts are the services over which the requests of the route are split.
 	Parts []WeightedService
--- a/internal/core/mtroute/table.go
+++ b/internal/core/mtroute/table.go
@@ -54,6 +54,7 @@
 		table.Services[service.Name] = service
 	}
 	for _, route := range routes {
+		route.Attempts = min(route.Attempts, MaxAttempts)
 		table.hosts[route.Host] = append(table.hosts[route.Host], route)
 	}
 	for _, hostRoutes := range table.hosts {
--- a/internal/core/mtroute/table_test.go
+++ b/internal/core/mtroute/table_test.go
@@ -61,3 +61,13 @@
 		}
 	})
 }
+
+// A configuration with a very large number of attempts ended all processes, which reserve memory for each.
+func TestAttemptsOfRoutesAreBounded(t *testing.T) {
+	table := NewTable(1, nil, Limits{}, []*Route{
+		{Host: "a.example", Prefix: "/huge/", Attempts: 1_000_000_000},
+		{Host: "a.example", Prefix: "/usual/", Attempts: 3},
+	})
+	require.Equal(t, MaxAttempts, table.Find("a.example", "/huge/1").Attempts)
+	require.Equal(t, 3, table.Find("a.example", "/usual/1").Attempts)
+}
