--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -22,6 +22,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// defaultIdleTimeout is the idle lifetime of a connection when the endpoint states no timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeoutSeconds bounds the timeout that an endpoint states.
+	maxIdleTimeoutSeconds = 3600
 	// idleTimeoutMargin is subtracted from the timeout that the endpoint states.
 	idleTimeoutMargin = 1500 * time.Millisecond
 	// nonIdempotentIdleTimeout bounds the idle time of a connection for a request that must not run twice:
@@ -194,7 +196,7 @@
 	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			timeout := time.Duration(seconds) * time.Second
+			timeout := time.Duration(min(seconds, maxIdleTimeoutSeconds)) * time.Second
 			return max(timeout-idleTimeoutMargin, timeout/2)
 		}
 	}
--- a/internal/adapter/mtupstream/send_test.go
+++ b/internal/adapter/mtupstream/send_test.go
@@ -301,6 +301,7 @@
 	require.Equal(t, 10*time.Second-idleTimeoutMargin, lifetime("timeout=10, max=100", false))
 	require.Equal(t, 500*time.Millisecond, lifetime("timeout=1", false))
 	require.Equal(t, defaultIdleTimeout, lifetime("", false))
+	require.Equal(t, maxIdleTimeoutSeconds*time.Second-idleTimeoutMargin, lifetime("timeout=9223372036854775807", false))
 	require.Zero(t, lifetime("timeout=10", true))
 }
 
--- a/internal/core/mtroute/table.go
+++ b/internal/core/mtroute/table.go
@@ -41,6 +41,12 @@
 	Idle time.Duration
 }
 
+// maxHeaderBytes and maxBodyBytes bound the limits of a configuration, so that sums with them do not overflow.
+const (
+	maxHeaderBytes = 1 << 24
+	maxBodyBytes   = 1 << 40
+)
+
 // NewTable returns a table of routes. Of several matching routes, the one with the longest prefix wins.
 func NewTable(version uint64, services []Service, limits Limits, routes []*Route) *Table {
 	table := &Table{
@@ -50,6 +56,8 @@
 		hosts:    map[string][]*Route{},
 		count:    len(routes),
 	}
+	table.Limits.Header = min(limits.Header, maxHeaderBytes)
+	table.Limits.Body = min(limits.Body, maxBodyBytes)
 	for _, service := range services {
 		table.Services[service.Name] = service
 	}
--- a/internal/core/mtroute/table_test.go
+++ b/internal/core/mtroute/table_test.go
@@ -1,6 +1,7 @@
 package mtroute
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -71,3 +72,13 @@
 	require.Equal(t, MaxAttempts, table.Find("a.example", "/huge/1").Attempts)
 	require.Equal(t, 3, table.Find("a.example", "/usual/1").Attempts)
 }
+
+// With the largest number as the limit of bodies, one byte more overflowed, and requests were passed on without their body.
+func TestLimitsOfConfigurationAreBounded(t *testing.T) {
+	table := NewTable(1, nil, Limits{
+		Header: math.MaxInt,
+		Body:   math.MaxInt64,
+	}, nil)
+	require.Equal(t, maxHeaderBytes, table.Limits.Header)
+	require.EqualValues(t, maxBodyBytes, table.Limits.Body)
+}
