Refusals without an attempt ID are all accepted, on connections that can have no duplicate

What callers saw: of several refusals in a row on a kept connection, by an endpoint that echoes no ID in them, every second one was skipped as a copy of the one before; its caller waited until the deadline and got 504.

Cause: once a connection had carried such a refusal, another one on it could be a copy or not, and was guessed to be a copy. Change: there is nothing to guess, as only probes, which need no true 'not run', use such a connection again; a request gets another one.

Answers that end within their head were looked at as well: net/http reports an error for a head that is cut anywhere, which counts as lost; no change.

--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -71,7 +71,7 @@
 		if pooled == nil {
 			break
 		}
-		if pooled.hasNoPendingInput() {
+		if pooled.hasNoPendingInput() && !(pooled.sawAnonymousRefusal && request.AttemptID != "") {
 			return pooled, nil
 		}
 		pooled.close()
--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -32,7 +32,8 @@
 	reader   *bufio.Reader
 	lastUsed time.Time
 	expires  time.Time
-	// sawAnonymousRefusal is set once a refusal without an attempt ID was received: another one may be its duplicate.
+	// sawAnonymousRefusal is set once a refusal without an attempt ID was received. Another one may be its duplicate, so
+	// only probes use the connection again.
 	sawAnonymousRefusal bool
 }
 
@@ -213,9 +214,8 @@
 			continue
 		}
 		isAnonymousRefusal := metadata.AttemptID == "" && metadata.NotRun
-		isMatch := metadata.AttemptID == request.AttemptID || isAnonymousRefusal && !c.sawAnonymousRefusal
 		c.sawAnonymousRefusal = c.sawAnonymousRefusal || isAnonymousRefusal
-		if isMatch {
+		if metadata.AttemptID == request.AttemptID || isAnonymousRefusal {
 			return response, metadata, nil
 		}
 		headerLimit := c.source.remaining
