Test: a response that ends anywhere within its head is no answer

Asked for by operators of systems like ours: clients got a 200 with an empty body when an endpoint stopped in the middle of its head. Five heads, cut at each of their places: none is taken for an answer; the request counts as lost. No change of code.

--- a/internal/adapter/mtupstream/send_test.go
+++ b/internal/adapter/mtupstream/send_test.go
@@ -469,3 +469,27 @@
 	require.EqualValues(t, 1, endpoint.requests.Load())
 	require.EqualValues(t, 1, endpoint.connections.Load())
 }
+
+// An endpoint that stops anywhere within the head of its response and closes has not answered.
+func TestResponseThatEndsInItsHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nAttempt: 1\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for length := range len(head) {
+			if strings.HasSuffix(head[:length], "\r\n\r\n") && !strings.HasPrefix(head, "HTTP/1.1 100") {
+				continue
+			}
+			endpoint := newTestEndpoint(t, func(_ int64, conn *net.TCPConn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, head[:length])
+				return false
+			})
+			_, delivery, err := send(t, newTestPool(), endpoint.address, "1", false)
+			require.Error(t, err, "%q", head[:length])
+			require.Equal(t, MayHaveRun, delivery, "%q", head[:length])
+		}
+	}
+}
