--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -290,6 +290,12 @@
 		Text:   "endpoint answered a request under which others had crashed; equal ones are sent again",
 	}
 
+	QuarantineNotStored = Event{
+		Number: 518,
+		Level:  logrus.WarnLevel,
+		Text:   "store does not take or give the record of refused requests; after a restart of all instances they are found anew",
+	}
+
 	CallHandlerPanicked = Event{
 		Number: 500,
 		Level:  logrus.ErrorLevel,
@@ -360,6 +366,7 @@
 	RequestSuspected,
 	RequestQuarantined,
 	RequestCleared,
+	QuarantineNotStored,
 }
 
 // Log writes the event to logger with its number, its text and fields.
--- a/internal/core/mtfingerprint/fingerprint.go
+++ b/internal/core/mtfingerprint/fingerprint.go
@@ -5,25 +5,17 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
-	"net/http"
 )
 
 // Size is the length of a fingerprint in bytes.
 const Size = 16
 
-// credentialHeaders name the headers by which requests of different callers differ.
-var credentialHeaders = []string{"Authorization", "Cookie"}
-
-// Fingerprint is the same for requests with the same method, host, target, credentials and body. It does not depend on the
-// address of the caller, who may come back from another one.
+// Fingerprint is the same for equal requests.
 type Fingerprint [Size]byte
 
-// Of returns the fingerprint of a request with a body.
-func Of(request *http.Request, body []byte) Fingerprint {
-	parts := []string{request.Method, request.Host, request.RequestURI}
-	for _, name := range credentialHeaders {
-		parts = append(parts, request.Header.Get(name))
-	}
+// Of returns the fingerprint of a request with a body. Parts are the other properties by which requests differ, in a fixed
+// order.
+func Of(parts []string, body []byte) Fingerprint {
 	hash := sha256.New()
 	for _, part := range parts {
 		// The lengths keep the boundaries between parts. Writing to a hash can't fail.
--- a/internal/node/mtgateway/quarantine_store.go
+++ b/internal/node/mtgateway/quarantine_store.go
@@ -9,6 +9,9 @@
 	"encoding/json"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	"github.com/mangotack/mangotack/internal/core/mtfingerprint"
 	"github.com/mangotack/mangotack/internal/core/mtreplication"
 	"github.com/mangotack/mangotack/internal/core/mtsuspicion"
@@ -71,7 +74,7 @@
 		g.metrics.countStoreCall(mtreplication.MemberFeed, err)
 	}
 	if err != nil {
-		g.logger.WithError(err).Warn("could not write the quarantine to the store; it is lost if all instances restart")
+		g.logQuarantineNotStored("write", err)
 	}
 }
 
@@ -82,7 +85,7 @@
 	batch, err := g.store.ReadNewest(ctx, mtreplication.MemberFeed)
 	g.metrics.countStoreCall(mtreplication.MemberFeed, err)
 	if err != nil {
-		g.logger.WithError(err).Warn("could not read the quarantine from the store; requests that crash endpoints are found anew")
+		g.logQuarantineNotStored("read", err)
 		return
 	}
 	now := time.Now()
@@ -97,14 +100,14 @@
 func (g *Gateway) applyStoredQuarantine(value []byte, now time.Time) {
 	var stored []storedSuspect
 	if err := json.Unmarshal(value, &stored); err != nil {
-		g.logger.WithError(err).Warn("could not decode the quarantine in the store; it is ignored")
+		g.logUndecodableQuarantine(err.Error())
 		return
 	}
 	var fingerprints []mtfingerprint.Fingerprint
 	for _, suspect := range stored[:min(len(stored), maxStoredSuspects)] {
 		print, err := hex.DecodeString(suspect.Print)
 		if err != nil || len(print) != mtfingerprint.Size || len(suspect.Crashes) > maxCrashesPerSuspect {
-			g.logger.WithField("print", truncateText(suspect.Print)).Warn("could not decode a quarantined request in the store; it is ignored")
+			g.logUndecodableQuarantine("found print " + truncateText(suspect.Print) + ", expected a fingerprint and its crashes")
 			continue
 		}
 		evidence := mtsuspicion.Suspicion{}
@@ -123,6 +126,21 @@
 	}
 }
 
+// logQuarantineNotStored logs that the record could not be written or read, as call says.
+func (g *Gateway) logQuarantineNotStored(call string, err error) {
+	mtevent.QuarantineNotStored.Log(g.logger, logrus.Fields{
+		"call":  call,
+		"error": err.Error(),
+	})
+}
+
+func (g *Gateway) logUndecodableQuarantine(reason string) {
+	mtevent.RecordUndecodable.Log(g.logger, logrus.Fields{
+		"feed":  mtreplication.MemberFeed.String(),
+		"error": reason,
+	})
+}
+
 // earlierTime returns the earlier one of two times: the clock of the instance that has written a time may be ahead.
 func earlierTime(a, b time.Time) time.Time {
 	if a.Before(b) {
