Log and count who answered a request that was passed on, and why it was refused

Needed to tell the hypotheses of RECOVER beside a burst apart without joining the logs of all instances. TestLogNamesRefusalOfHelper fails without it (event 512).

--- a/internal/adapter/mtevent/event.go
+++ b/internal/adapter/mtevent/event.go
@@ -296,6 +296,12 @@
 		Text:   "store does not take or give the record of refused requests; after a restart of all instances they are found anew",
 	}
 
+	HelperAnswered = Event{
+		Number: 519,
+		Level:  logrus.InfoLevel,
+		Text:   "request answered by the instance that it was passed on to",
+	}
+
 	CallHandlerPanicked = Event{
 		Number: 500,
 		Level:  logrus.ErrorLevel,
@@ -367,6 +373,7 @@
 	RequestQuarantined,
 	RequestCleared,
 	QuarantineNotStored,
+	HelperAnswered,
 }
 
 // Log writes the event to logger with its number, its text and fields.
--- a/internal/node/mtgateway/active_request_log.go
+++ b/internal/node/mtgateway/active_request_log.go
@@ -11,6 +11,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
 // paceStepsPerUnit rounds the slowness of hosts in log lines to hundredths.
@@ -28,6 +29,9 @@
 	}
 	grants := a.grants.snapshot()
 	fields["sent"] = len(grants)
+	if a.isRelayed {
+		fields["relayed"] = true
+	}
 	if len(a.triedHelpers) > 0 {
 		fields["helpers"] = strings.Join(a.triedHelpers, " ")
 	}
@@ -99,6 +103,7 @@
 	a.gateway.requestLog.write(mtevent.AttemptFailed, fields)
 }
 
+// logAnswer logs a reply that is passed on to the caller, of the endpoint of a grant or of a helper.
 func (a *activeRequest) logAnswer(reply *mtupstream.Response, grant mtscheduler.Assignment, elapsed time.Duration) {
 	importance := importanceOrdinary
 	if reply.Status >= http.StatusInternalServerError {
@@ -107,15 +112,19 @@
 	if !a.gateway.requestLog.allow(importance, a.call.ArrivedAt) {
 		return
 	}
+	event := mtevent.CallAnswered
 	answeredBy := &grant
 	if grant.Endpoint == nil {
-		// A helper has answered.
+		event = mtevent.HelperAnswered
 		answeredBy = nil
 	}
 	fields := a.logFields(elapsed, answeredBy)
 	fields["status"] = reply.Status
 	fields["left"] = a.objective.Sub(a.call.ArrivedAt).Milliseconds()
-	a.gateway.requestLog.write(mtevent.CallAnswered, fields)
+	if reason := reply.Header.Get(mtoutcome.ReasonHeader); reason != "" && grant.Endpoint == nil {
+		fields["reason"] = reason
+	}
+	a.gateway.requestLog.write(event, fields)
 }
 
 func (a *activeRequest) logRefusal(status int, elapsed time.Duration) {
--- a/internal/node/mtgateway/metrics.go
+++ b/internal/node/mtgateway/metrics.go
@@ -8,9 +8,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtrate"
 	"github.com/mangotack/mangotack/internal/core/mtreplication"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
 // gatewayMetrics contains the metrics of the instance.
@@ -72,11 +74,14 @@
 	).Update(wait.Seconds())
 }
 
-// countRelay counts a request that was passed on to another instance.
-func (m *gatewayMetrics) countRelay(service string, err error) {
+// countRelay counts a request that was passed on to another instance, whose reply is nil if none arrived.
+func (m *gatewayMetrics) countRelay(service string, reply *mtupstream.Response) {
 	result := "answered"
-	if err != nil {
+	switch {
+	case reply == nil:
 		result = "failed"
+	case reply.Header.Get(mtoutcome.ReasonHeader) != "":
+		result = "refused"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mangotack_gateway_relayed_total{service=%q,result=%q}`, service, result)).Inc()
 }
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -114,7 +114,7 @@
 		Body:       a.call.Body,
 		Idempotent: a.route.Idempotent,
 	}, a.deadline)
-	a.gateway.metrics.countRelay(a.service, err)
+	a.gateway.metrics.countRelay(a.service, reply)
 	return attemptResult{
 		helper:   helper.Name,
 		reply:    reply,
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -1,7 +1,9 @@
 package mtgateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,14 +12,17 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangotack/mangotack/internal/adapter/mtevent"
 	"github.com/mangotack/mangotack/internal/adapter/mtmesh"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtroute"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
 	"github.com/mangotack/mangotack/internal/core/mtsteering"
 	peerv1 "github.com/mangotack/mangotack/internal/gen/mangotack/peer/v1"
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
 // newRelayTestRequest returns a request of an instance that passes it on to a helper.
@@ -241,3 +246,29 @@
 		require.Empty(t, gateway.trackers, name)
 	}
 }
+
+// The log of the instance that passes a request on tells who refused it and why.
+func TestLogNamesRefusalOfHelper(t *testing.T) {
+	a, helper := newRelayTestRequest(t, &mtroute.Route{}, "", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(mtoutcome.ReasonHeader, mtscheduler.Overload)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})
+	log := &bytes.Buffer{}
+	logger := logrus.New()
+	logger.SetOutput(log)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	a.gateway.requestLog = newRequestLog(logger)
+	a.triedHelpers = []string{helper.Name}
+	result := a.relay(context.Background(), helper)
+	result.cancel = func() {}
+	a.handleResult(context.Background(), result)
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(log.Bytes(), &line))
+	require.EqualValues(t, mtevent.HelperAnswered.Number, line["event"])
+	require.EqualValues(t, http.StatusServiceUnavailable, line["status"])
+	require.Equal(t, mtscheduler.Overload, line["reason"])
+	require.Equal(t, helper.Name, line["helpers"])
+	metrics := &bytes.Buffer{}
+	a.gateway.metrics.write(metrics)
+	require.Contains(t, metrics.String(), `mangotack_gateway_relayed_total{service="menu",result="refused"} 1`)
+}
