A first attempt that is passed on keeps its objective

The instance that passes a request on writes the time that is left into the deadline header, bounded by the route's timeout (800 ms where callers wait for 1,500 ms). Class: a number that we have rewritten ourselves is read as if its first author had written it.

The endpoint does not get the header.

--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -97,10 +97,11 @@
 	isHedge  bool
 }
 
+// newActiveRequest returns a request; origin is nil unless another instance has passed it on.
 func newActiveRequest(
-	gateway *Gateway, call *mtingress.Call, route *mtroute.Route, table *mtroute.Table,
+	gateway *Gateway, call *mtingress.Call, route *mtroute.Route, table *mtroute.Table, origin *relayOrigin,
 ) *activeRequest {
-	id, objective, deadline := gateway.requestDeadlines(route, call.Request.Header, call.ArrivedAt)
+	id, objective, deadline := gateway.requestDeadlines(route, call.Request.Header, call.ArrivedAt, origin)
 	return &activeRequest{
 		gateway:        gateway,
 		call:           call,
@@ -112,6 +113,8 @@
 		deadline:       deadline,
 		results:        make(chan attemptResult, route.Attempts+maxUnsentRetries+2),
 		attemptCancels: map[int]context.CancelFunc{},
+		isRelayed:      origin != nil,
+		isCounted:      origin != nil && origin.isCounted,
 	}
 }
 
--- a/internal/node/mtgateway/handle.go
+++ b/internal/node/mtgateway/handle.go
@@ -30,11 +30,11 @@
 
 // Handle answers one request; nil closes its connection without an answer.
 func (g *Gateway) Handle(ctx context.Context, call *mtingress.Call) *mtingress.Response {
-	return g.handle(ctx, call, false)
+	return g.handle(ctx, call, nil)
 }
 
-// handle answers one request, which isRelayed if another instance has passed it on.
-func (g *Gateway) handle(ctx context.Context, call *mtingress.Call, isRelayed bool) *mtingress.Response {
+// handle answers one request; origin is nil unless another instance has passed it on.
+func (g *Gateway) handle(ctx context.Context, call *mtingress.Call, origin *relayOrigin) *mtingress.Response {
 	g.requestRate.add(1, call.ArrivedAt)
 	table := g.routeTable.Load()
 	if table == nil || !g.isStateLoaded() {
@@ -55,10 +55,7 @@
 			return nil
 		}
 	}
-	request := newActiveRequest(g, call, route, table)
-	request.isRelayed = isRelayed
-	request.isCounted = isRelayed && takeRelayHeader(call.Request.Header)
-	return request.run(ctx)
+	return newActiveRequest(g, call, route, table, origin).run(ctx)
 }
 
 // recordRejection counts and logs a request that is refused before any attempt.
@@ -94,16 +91,18 @@
 }
 
 // requestDeadlines returns the attempt ID, the objective and the deadline of a request; time that its caller has
-// already waited is subtracted from the objective.
+// already waited is subtracted from the objective. Only the timeout of a request that its caller sent here tells that
+// time: the instance that passes a request on replaces the timeout.
 func (g *Gateway) requestDeadlines(
-	route *mtroute.Route, header http.Header, arrived time.Time,
+	route *mtroute.Route, header http.Header, arrived time.Time, origin *relayOrigin,
 ) (attemptID string, objective, deadline time.Time) {
 	attemptID, timeout := g.headerCodec.ParseRequestHeader(header)
 	elapsed := time.Duration(0)
-	if timeout > 0 {
-		elapsed = g.callerPatience.sinceFirstAttempt(route.Name, timeout)
-	} else {
+	switch {
+	case timeout <= 0:
 		timeout = defaultTimeout
+	case origin == nil:
+		elapsed = g.callerPatience.sinceFirstAttempt(route.Name, timeout)
 	}
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
@@ -112,7 +111,11 @@
 	if route.Objective <= 0 {
 		return attemptID, deadline, deadline
 	}
-	return attemptID, arrived.Add(route.Objective - elapsed), deadline
+	left := route.Objective - elapsed
+	if origin != nil && origin.hasObjective {
+		left = min(left, origin.objectiveLeft)
+	}
+	return attemptID, arrived.Add(left), deadline
 }
 
 // forwardedHeader returns the headers to send to the endpoint.
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -22,23 +23,47 @@
 // relayHeaderBytes is what the instance that passes a request on adds to its header, at most.
 const relayHeaderBytes = 1 << 10
 
-// relayCountedHeader marks a relayed request that the retry budget of the instance that passed it on has counted.
-const relayCountedHeader = "Mangotack-Relay-Counted"
+const (
+	// relayCountedHeader marks a relayed request that the retry budget of the instance that passed it on has counted.
+	relayCountedHeader = "Mangotack-Relay-Counted"
+	// relayObjectiveHeader has the time that is left of the latency objective, in milliseconds; it may be negative.
+	relayObjectiveHeader = "Mangotack-Relay-Objective"
+	// maxRelayedObjective bounds the time in relayObjectiveHeader, in both directions.
+	maxRelayedObjective = time.Hour
+)
+
+// relayOrigin is what the instance that passed a request on tells of it.
+type relayOrigin struct {
+	// isCounted is set if the retry budget of that instance has counted the request.
+	isCounted bool
+	// objectiveLeft is the time that is left of the latency objective, if hasObjective is set; an instance of an older
+	// build does not tell it.
+	objectiveLeft time.Duration
+	hasObjective  bool
+}
 
-// takeRelayHeader removes what the instance that passed a request on has added to its header, and reports whether that
-// instance has counted the request.
-func takeRelayHeader(header http.Header) (isCounted bool) {
-	isCounted = header.Get(relayCountedHeader) != ""
+// takeRelayHeader removes what the instance that passed a request on has added to its header, and returns it.
+func takeRelayHeader(header http.Header) *relayOrigin {
+	origin := &relayOrigin{
+		isCounted: header.Get(relayCountedHeader) != "",
+	}
+	if left, err := strconv.ParseFloat(header.Get(relayObjectiveHeader), 64); err == nil && !math.IsNaN(left) {
+		limit := float64(maxRelayedObjective.Milliseconds())
+		origin.objectiveLeft = time.Duration(max(-limit, min(left, limit)) * float64(time.Millisecond))
+		origin.hasObjective = true
+	}
 	header.Del(relayCountedHeader)
-	return isCounted
+	header.Del(relayObjectiveHeader)
+	return origin
 }
 
 // setRelayHeader adds what the helper must know to the header of a request.
-func (a *activeRequest) setRelayHeader(header http.Header) {
+func (a *activeRequest) setRelayHeader(header http.Header, now time.Time) {
 	header.Del(relayCountedHeader)
 	if a.isCounted {
 		header.Set(relayCountedHeader, "1")
 	}
+	header.Set(relayObjectiveHeader, strconv.FormatInt(a.objective.Sub(now).Milliseconds(), 10))
 }
 
 // countRequest counts the request in the retry budget, unless another instance has counted it or will do so.
@@ -57,7 +82,7 @@
 
 // Handle answers one request; nil closes its connection without an answer.
 func (r relayedCalls) Handle(ctx context.Context, call *mtingress.Call) *mtingress.Response {
-	return r.gateway.handle(ctx, call, true)
+	return r.gateway.handle(ctx, call, takeRelayHeader(call.Request.Header))
 }
 
 // relayPort returns the port of the listener for relayed requests as rows name it, or 0.
@@ -104,7 +129,7 @@
 	header := forwardedHeader(a.call.Request.Header)
 	// The helper names the endpoint that it expects.
 	a.gateway.headerCodec.SetRequestHeader(header, "", time.Until(a.deadline))
-	a.setRelayHeader(header)
+	a.setRelayHeader(header, time.Now())
 	reply, delivery, err := a.gateway.relayPool.Send(ctx, mtupstream.Request{
 		Address:    helper.RelayAddress,
 		Method:     a.call.Request.Method,
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -198,7 +198,7 @@
 			relayed.service = "menu"
 			relayed.gateway.retryBudgets = newRetryBudgets(1, time.Minute)
 			relayed.gateway.retryBudgets.setSlack(5, 0, time.Now())
-			relayed.isCounted = takeRelayHeader(header)
+			relayed.isCounted = takeRelayHeader(header).isCounted
 			relayed.countRequest()
 			hasEarned := func(a *activeRequest) bool {
 				now := time.Now()
