A congested link is not taken for a partition

Cause: a check whose four endpoints are silent for 0.4 s told a partition, also while the instance's own link was full and responses to earlier requests kept arriving. Class: an absence that has several causes is attributed to one of them.

A check that is silent, rather than refused, is now judged with what else arrives: while the service responds to other requests it tells nothing and is repeated; while endpoints of other services do, it lasts up to 1.2 s. Where nothing responds, and where connections are refused or reset, the service is lost as soon as before, and a lost service is asked again as often. TestCongestedLinkIsNotTakenForPartition failed before.

--- a/internal/adapter/mtupstream/pool.go
+++ b/internal/adapter/mtupstream/pool.go
@@ -76,7 +76,11 @@
 		}
 		pooled.close()
 	}
-	socket, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialer := p.dialer
+	if request.dialTimeout > 0 {
+		dialer.Timeout = request.dialTimeout
+	}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/mtupstream/send.go
+++ b/internal/adapter/mtupstream/send.go
@@ -22,7 +22,6 @@
 	maxResponses   = 3
 	readBufferSize = 4 << 10
 	probeTimeout   = 150 * time.Millisecond
-	checkTimeout   = dialTimeout
 )
 
 type conn struct {
@@ -73,6 +72,8 @@
 	OnConnected func()
 	// onNewConnection is set if no open connection may be used.
 	onNewConnection bool
+	// dialTimeout bounds the opening of a new connection; 0 selects the default.
+	dialTimeout time.Duration
 	// isProbe marks a probe: at most maxProbeBodyBytes of its response body are read.
 	isProbe bool
 }
@@ -301,10 +302,10 @@
 	return nil
 }
 
-// Check requests the health check path of an endpoint on a new connection and reports whether anything responds within
-// checkTimeout.
-func (p *Pool) Check(ctx context.Context, address, path string) bool {
-	checkCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+// Check requests the health check path of an endpoint on a new connection; the error is nil if anything responds within
+// a timeout.
+func (p *Pool) Check(ctx context.Context, address, path string, timeout time.Duration) error {
+	checkCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, _, err := p.Send(checkCtx, Request{
 		Address:         address,
@@ -313,15 +314,16 @@
 		Host:            address,
 		Idempotent:      true,
 		onNewConnection: true,
+		dialTimeout:     timeout,
 		isProbe:         true,
-	}, time.Now().Add(checkTimeout))
+	}, time.Now().Add(timeout))
 	if err != nil {
-		return false
+		return err
 	}
 	if reply.Remainder != nil {
 		_ = reply.Remainder.Close()
 	}
-	return true
+	return nil
 }
 
 // Probe requests the health check path of an endpoint and returns what the response states, such as the load. It calls
--- a/internal/core/mtreach/tracker.go
+++ b/internal/core/mtreach/tracker.go
@@ -6,7 +6,7 @@
 //	reached --a failure at one endpoint, while none has responded for quietTime--> suspected
 //	reached --another instance has lost the service--> suspected
 //	suspected --an endpoint responds to a check on a new connection--> reached
-//	suspected --no endpoint responds to a check--> cut
+//	suspected --all new connections of a check fail, or stay silent while nothing else responds--> cut
 //	cut --an endpoint responds to a check--> reached
 
 package mtreach
--- a/internal/node/mtgateway/dispatch.go
+++ b/internal/node/mtgateway/dispatch.go
@@ -135,10 +135,10 @@
 	case statement.EndpointID != "" && statement.EndpointID != target.ID:
 		placer.RecordFailedProbe(target, now)
 	case !statement.HasLoadReport:
-		g.trackerOf(service).RecordResponse(now)
+		g.recordResponse(service, now)
 		placer.RecordMissingReport(target, now)
 	default:
-		g.trackerOf(service).RecordResponse(now)
+		g.recordResponse(service, now)
 		statement.LoadReport.OwnRequests = target.Inflight()
 		placer.RecordReport(target, statement.LoadReport, now)
 	}
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -114,6 +114,8 @@
 	loggedInvalidLimits map[string]bool
 	// trackers tell of each service whether this instance reaches its endpoints.
 	trackers map[string]*mtreach.Tracker
+	// endpointRespondedAt is when an endpoint of any service last responded.
+	endpointRespondedAt time.Time
 	// limitSharing is the view from which the shares of request limits follow.
 	limitSharing  mtsteering.LimitSharing
 	lastRequestID uint64
--- a/internal/node/mtgateway/reach.go
+++ b/internal/node/mtgateway/reach.go
@@ -52,12 +52,18 @@
 	defer g.mu.Unlock()
 	switch {
 	case delivery == mtupstream.Answered:
-		g.trackerOf(service).RecordResponse(now)
+		g.recordResponse(service, now)
 	case verdict == mtscheduler.Failed:
 		g.recordUnreached(service, target, delivery != mtupstream.NotSent, now)
 	}
 }
 
+// recordResponse records that an endpoint of a service has responded; the caller holds g.mu.
+func (g *Gateway) recordResponse(service string, now time.Time) {
+	g.trackerOf(service).RecordResponse(now)
+	g.endpointRespondedAt = now
+}
+
 // recordUnreached records a failure of an endpoint without a response; the caller holds g.mu.
 func (g *Gateway) recordUnreached(service string, target *mtscheduler.Endpoint, isConnected bool, now time.Time) {
 	tracker := g.trackerOf(service)
@@ -83,7 +89,7 @@
 	rand.Shuffle(len(addresses), func(i, j int) {
 		addresses[i], addresses[j] = addresses[j], addresses[i]
 	})
-	go g.check(service, addresses[:min(len(addresses), maxCheckedEndpoints)])
+	go g.check(service, addresses[:min(len(addresses), maxCheckedEndpoints)], now)
 }
 
 // checkLostServices checks services that another instance has lost, so that an instance without requests notices as well
@@ -114,27 +120,65 @@
 }
 
 // check asks endpoints of a service whether this instance reaches them.
-func (g *Gateway) check(service string, addresses []string) {
+func (g *Gateway) check(service string, addresses []string, began time.Time) {
 	path := "/"
 	if table := g.routeTable.Load(); table != nil {
 		path = table.Services[service].Health
 	}
-	responses := make(chan bool, len(addresses))
+	results := make(chan error, len(addresses))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, address := range addresses {
 		go func() {
-			responses <- g.endpointPool.Check(ctx, address, path)
+			results <- g.endpointPool.Check(ctx, address, path, mtreach.MaxCheckTime)
 		}()
 	}
-	responded := false
-	for range addresses {
-		if <-responses {
-			responded = true
-			break
+	ticker := time.NewTicker(mtreach.SilenceInterval)
+	defer ticker.Stop()
+	for failed := 0; failed < len(addresses); {
+		select {
+		case err := <-results:
+			if err == nil {
+				g.endCheck(service, true, time.Now())
+				return
+			}
+			failed++
+		case <-ticker.C:
+			switch now := time.Now(); g.judgeSilence(service, began, now) {
+			case mtreach.Unreachable:
+				g.endCheck(service, false, now)
+				return
+			case mtreach.Reachable:
+				g.abandonCheck(service, now)
+				return
+			}
 		}
 	}
-	g.endCheck(service, responded, time.Now())
+	g.endCheck(service, false, time.Now())
+}
+
+// judgeSilence judges a check of a service that has got no response so far.
+func (g *Gateway) judgeSilence(service string, began, now time.Time) mtreach.SilenceVerdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.trackerOf(service).JudgeSilence(began, g.endpointRespondedAt, now)
+}
+
+// abandonCheck records the end of a check that has told nothing.
+func (g *Gateway) abandonCheck(service string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.trackerOf(service).CheckAbandoned(now)
+	g.checkAgain(service)
+}
+
+// checkAgain starts the next check of a service that is lost or suspected after a while.
+func (g *Gateway) checkAgain(service string) {
+	time.AfterFunc(mtreach.CheckInterval, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.startCheck(service, time.Now())
+	})
 }
 
 // endCheck records the result of a check. If it changes whether the service is reached, the other instances are told.
@@ -149,11 +193,7 @@
 		g.handleLostService(service)
 	}
 	if !responded {
-		time.AfterFunc(mtreach.CheckInterval, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.startCheck(service, time.Now())
-		})
+		g.checkAgain(service)
 	}
 	g.mu.Unlock()
 	if !changed {
