--- a/internal/core/mtsteering/selection.go
+++ b/internal/core/mtsteering/selection.go
@@ -238,6 +238,14 @@
 	return rate, traffic / rate
 }
 
+// RequestCapacities returns a function for the number of requests a second that one of the candidates can serve.
+func RequestCapacities(candidates []Candidate) func(Candidate) float64 {
+	_, answerMegabits := totalLoad(candidates)
+	return func(candidate Candidate) float64 {
+		return requestCapacity(candidate, answerMegabits)
+	}
+}
+
 // requestCapacity returns the number of requests a second that an instance can serve with its processor and its link.
 func requestCapacity(c Candidate, answerMegabits float64) float64 {
 	perSecond := c.Cores * maxCPUFraction / requestCoreSeconds
--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -26,6 +26,8 @@
 	hedgeRetryInterval = 100 * time.Millisecond
 	// maxUnsentRetries bounds the retries after attempts of which no byte was sent; no endpoint counts these attempts.
 	maxUnsentRetries = 3
+	// maxDeclinedRelays bounds the helpers that a request is passed on to one after the other because each declines it.
+	maxDeclinedRelays = 12
 )
 
 // reasonTimeout is the refusal reason at the deadline of a request.
@@ -71,6 +73,8 @@
 	// not answered.
 	triedHelpers []string
 	activeRelays int
+	// declinedRelays is the number of helpers that have declined the request.
+	declinedRelays int
 	// budgetDenied is set when the budget denied the last extra attempt.
 	budgetDenied bool
 	// cancelAll cancels all attempts; attemptCancels contains the cancel function of each running attempt by its
@@ -111,7 +115,7 @@
 		id:             id,
 		objective:      objective,
 		deadline:       deadline,
-		results:        make(chan attemptResult, route.Attempts+maxUnsentRetries+2),
+		results:        make(chan attemptResult, route.Attempts+maxUnsentRetries+maxDeclinedRelays+2),
 		attemptCancels: map[int]context.CancelFunc{},
 		isRelayed:      origin != nil,
 		isCounted:      origin != nil && origin.isCounted,
@@ -394,7 +398,7 @@
 // mayRetry reports whether the request may be sent to another endpoint.
 func (a *activeRequest) mayRetry(mayHaveRun bool) bool {
 	if mayHaveRun && !a.route.Idempotent || a.sentAttempts+a.activeAttempts >= a.route.Attempts ||
-		a.unsentAttempts > maxUnsentRetries {
+		a.unsentAttempts > maxUnsentRetries || a.declinedRelays > maxDeclinedRelays {
 		return false
 	}
 	now := time.Now()
--- a/internal/node/mtgateway/active_request_test.go
+++ b/internal/node/mtgateway/active_request_test.go
@@ -27,6 +27,7 @@
 			requestLog:   newRequestLog(logger),
 			retryBudgets: newRetryBudgets(0, time.Second),
 			quarantine:   newRequestQuarantine(),
+			helpers:      newHelperChooser(),
 		},
 		call: &mtingress.Call{
 			ArrivedAt: time.Now(),
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -46,6 +46,7 @@
 		recordDecoder: numericDecoder{},
 		feeds:         newFeedSet(time.Now()),
 		quarantine:    newRequestQuarantine(),
+		helpers:       newHelperChooser(),
 		endpointPool:  mtupstream.NewPool(nil, nil),
 		registry:      mtregistry.NewRegistry(),
 		targets:       map[string]*mtscheduler.Endpoint{},
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -5,7 +5,7 @@
 //	Gateway.mu         registry of endpoints, placers, waiting requests
 //	mtmesh.Mesh        rows of the instances; CompleteRow takes feedSet.mu under it
 //	feedSet.mu         feeds
-//	retryBudgets, requestQuarantine, callerPatience, mtupstream.Pool   leaves
+//	retryBudgets, requestQuarantine, callerPatience, helperChooser, mtupstream.Pool   leaves
 
 package mtgateway
 
@@ -68,6 +68,7 @@
 	// relayIngress accepts requests that other instances pass on, and relayPool holds the connections to them.
 	relayIngress *mtingress.Server
 	relayPool    *mtupstream.Pool
+	helpers      *helperChooser
 	httpServers  []*http.Server
 	peerClient   *http.Client
 
@@ -142,6 +143,7 @@
 		metrics:        newGatewayMetrics(),
 		endpointPool:   mtupstream.NewPool(headerCodec, net.ParseIP(host)),
 		relayPool:      mtupstream.NewPool(opaqueResponses{}, net.ParseIP(host)),
+		helpers:        newHelperChooser(),
 		feeds:          newFeedSet(now),
 		retryBudgets:   newRetryBudgets(settings.RetryPart, settings.RetryWindow),
 		callerPatience: newCallerPatience(),
--- a/internal/node/mtgateway/reach.go
+++ b/internal/node/mtgateway/reach.go
@@ -15,7 +15,6 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
 	"github.com/mangotack/mangotack/internal/core/mtreach"
 	"github.com/mangotack/mangotack/internal/core/mtscheduler"
-	"github.com/mangotack/mangotack/internal/core/mtsteering"
 )
 
 const (
@@ -247,23 +246,3 @@
 	}
 	return *lost
 }
-
-// pickHelper returns an instance to pass a request for a service on to; found is false if this instance reaches the
-// service itself, or no other instance is known to.
-func (g *Gateway) pickHelper(service string, tried []string, now time.Time) (helper mtsteering.Candidate, found bool) {
-	if !slices.Contains(g.currentLostServices(), service) {
-		return mtsteering.Candidate{}, false
-	}
-	var receivers []mtsteering.Candidate
-	if current := g.receivers.Load(); current != nil {
-		receivers = current.receivers
-	}
-	helpers := mtsteering.SelectHelpers(g.candidates(now), receivers, g.settings().Instance, service)
-	helpers = slices.DeleteFunc(helpers, func(candidate mtsteering.Candidate) bool {
-		return slices.Contains(tried, candidate.Name)
-	})
-	if len(helpers) == 0 {
-		return mtsteering.Candidate{}, false
-	}
-	return helpers[rand.IntN(len(helpers))], true
-}
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -130,6 +130,7 @@
 	// The helper names the endpoint that it expects.
 	a.gateway.headerCodec.SetRequestHeader(header, "", time.Until(a.deadline))
 	a.setRelayHeader(header, time.Now())
+	a.gateway.helpers.recordSent(helper.Name)
 	reply, delivery, err := a.gateway.relayPool.Send(ctx, mtupstream.Request{
 		Address:    helper.RelayAddress,
 		Method:     a.call.Request.Method,
@@ -140,12 +141,14 @@
 		Idempotent: a.route.Idempotent,
 	}, a.deadline)
 	a.gateway.metrics.countRelay(a.service, reply)
-	return attemptResult{
+	result := attemptResult{
 		helper:   helper.Name,
 		reply:    reply,
 		delivery: delivery,
 		err:      err,
 	}
+	a.gateway.helpers.recordResult(ctx, a.service, result, time.Now())
+	return result
 }
 
 // handleRelayReply passes the answer of a helper on to the caller. A failure waits for the attempts that still run.
@@ -179,7 +182,7 @@
 func (a *activeRequest) handleDeclinedRelay(ctx context.Context, result attemptResult) *mtingress.Response {
 	a.closeReply(result.reply)
 	result.cancel()
-	a.unsentAttempts++
+	a.declinedRelays++
 	a.reason = reasonLost
 	if a.mayRetry(false) {
 		a.startAttempt(ctx, false)
--- a/internal/node/mtgateway/relay_test.go
+++ b/internal/node/mtgateway/relay_test.go
@@ -161,7 +161,7 @@
 	result := a.relay(context.Background(), helper)
 	require.True(t, isDeclined(result))
 	result.cancel = func() {}
-	a.unsentAttempts = maxUnsentRetries
+	a.declinedRelays = maxDeclinedRelays
 	response := a.handleResult(context.Background(), result)
 	require.Equal(t, http.StatusServiceUnavailable, response.Status)
 	require.Zero(t, a.sentAttempts, "it counts as not sent")
