--- a/internal/verb/mtdiagnosis/report.go
+++ b/internal/verb/mtdiagnosis/report.go
@@ -189,7 +189,11 @@
 		}
 		return "no line names the request"
 	}
-	last := report.Lines[len(report.Lines)-1]
+	return describeLine(report, report.Lines[len(report.Lines)-1])
+}
+
+// describeLine returns a sentence that states what a line of a request tells about its end.
+func describeLine(report Report, last LogLine) string {
 	value := func(name string) any {
 		if found, ok := last.Fields[name]; ok {
 			return found
@@ -200,6 +204,8 @@
 	case mtevent.CallAnswered.Number:
 		return fmt.Sprintf("endpoint %v answered with status %v after %v ms",
 			value("endpoint"), value("status"), value("took"))
+	case mtevent.HelperAnswered.Number:
+		return describeHelperAnswer(report, value)
 	case mtevent.CallAbandoned.Number:
 		return fmt.Sprintf("the caller left after %v ms, before an answer", value("took"))
 	case mtevent.AttemptFailed.Number:
@@ -212,8 +218,27 @@
 	}
 }
 
+// describeHelperAnswer returns the cause of the answer to a request that was passed on, which the helper's own line states.
+func describeHelperAnswer(report Report, value func(string) any) string {
+	text := fmt.Sprintf("this instance reached no endpoint, and passed the request on to %v, which answered with status %v after %v ms",
+		value("helpers"), value("status"), value("took"))
+	for _, line := range slices.Backward(report.Lines) {
+		if line.Fields["relayed"] == true && line.Event != mtevent.AttemptFailed.Number {
+			return text + "; there: " + describeLine(report, line)
+		}
+	}
+	if reason := value("reason"); reason != "unknown" {
+		return fmt.Sprintf("%s, reason %v; its own line is not in these logs", text, reason)
+	}
+	return text
+}
+
 // describeRefusal returns the cause of a request whose last event is a refusal.
 func describeRefusal(report Report, last LogLine, value func(string) any) string {
+	if last.Fields["mayrun"] == true && last.Fields["helpers"] != nil && last.Fields["endpoint"] == nil {
+		return fmt.Sprintf("passed on to %v, which gave no whole answer (%v); it may have run, so it was not sent again: status %v after %v ms",
+			value("helpers"), value("reason"), value("status"), value("took"))
+	}
 	if last.Fields["mayrun"] == true {
 		return fmt.Sprintf("endpoint %v had the request and gave no whole answer (%v); it may have run, so it was not sent again: status %v after %v ms",
 			value("endpoint"), value("reason"), value("status"), value("took"))
@@ -221,6 +246,14 @@
 	switch last.Fields["reason"] {
 	case "overload":
 		return describeOverload(last, value)
+	case "link":
+		return fmt.Sprintf("refused as not run: the link of the instance was full; the expected wait for it was %v ms, with %v ms left of the objective; the caller was asked to come back after %v ms",
+			value("wait"), value("left"), value("after"))
+	case "cut":
+		return fmt.Sprintf("refused as not run after %v ms: the instance reached no endpoint of the service, and no other instance took the request",
+			value("took"))
+	case "leaving":
+		return fmt.Sprintf("refused as not run after %v ms: the instance ended before an endpoint had the request", value("took"))
 	case "notready":
 		return fmt.Sprintf("refused as not run with status %v: the instance had no configuration or no endpoints yet",
 			value("status"))
--- a/internal/verb/mtdiagnosis/report_test.go
+++ b/internal/verb/mtdiagnosis/report_test.go
@@ -108,3 +108,43 @@
 			Diagnose("a", lines).Cause)
 	}
 }
+
+// The caller's instance reaches no endpoint; the cause is what the instance that it passed the request on to has logged.
+func TestCauseOfRelayedRequestIsThatOfItsHelper(t *testing.T) {
+	const helperLine = `{"event":511,"id":"a","relayed":true,"reason":"link","status":503,"wait":420,"left":300,"after":700,"took":0,"msg":"refused","time":"2026-01-01T00:00:01Z"}
+`
+	const senderLine = `{"event":519,"id":"a","helpers":"i-2","reason":"link","status":503,"took":3,"msg":"passed on","time":"2026-01-01T00:00:02Z"}
+`
+	for name, c := range map[string]struct {
+		log, cause string
+	}{
+		"both lines": {
+			log: helperLine + senderLine,
+			cause: "this instance reached no endpoint, and passed the request on to i-2, which answered with status 503 after 3 ms; there: refused as not run: " +
+				"the link of the instance was full; the expected wait for it was 420 ms, with 300 ms left of the objective; the caller was asked to come back after 700 ms",
+		},
+		"helper's line left out": {
+			log: senderLine,
+			cause: "this instance reached no endpoint, and passed the request on to i-2, which answered with status 503 after 3 ms, reason link; " +
+				"its own line is not in these logs",
+		},
+		"helper gave no answer": {
+			log:   `{"event":511,"id":"a","helpers":"i-2","reason":"timeout","mayrun":true,"status":504,"took":900,"time":"2026-01-01T00:00:02Z"}`,
+			cause: "passed on to i-2, which gave no whole answer (timeout); it may have run, so it was not sent again: status 504 after 900 ms",
+		},
+		"all declined": {
+			log:   `{"event":511,"id":"a","helpers":"i-2 i-3","reason":"cut","mayrun":false,"status":503,"took":9,"time":"2026-01-01T00:00:02Z"}`,
+			cause: "refused as not run after 9 ms: the instance reached no endpoint of the service, and no other instance took the request",
+		},
+		"instance ended": {
+			log:   `{"event":511,"id":"a","reason":"leaving","mayrun":false,"status":503,"took":5000,"time":"2026-01-01T00:00:02Z"}`,
+			cause: "refused as not run after 5000 ms: the instance ended before an endpoint had the request",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines, err := Read(strings.NewReader(c.log), "file")
+			require.NoError(t, err)
+			require.Equal(t, c.cause, Diagnose("a", lines).Cause)
+		})
+	}
+}
