Requests wait for the own link, not in it

Median times were 1.1 to 1.8 s, and requests that endpoints had answered in time ended with 504. Cause: nothing weighs the link, so responses queue in it, where nobody can order or refuse them. Class: a resource that the admission does not know.

mtbandwidth lets a request start when the link has room for its response, by the sizes learned by route, and corrects itself by what arrived. Requests that would be late because of the link are refused at once with the reason `link`. All services share the link in the order of urgency.

--- a/internal/core/mtscheduler/admit.go
+++ b/internal/core/mtscheduler/admit.go
@@ -48,6 +48,8 @@
 	NoUntriedEndpoint = "noother"
 	// Overload means that the response would be too late.
 	Overload = "overload"
+	// LinkFull means that the response would be too late because the link of this instance is full.
+	LinkFull = "link"
 	// NoFreeHedgeSlot means that no slot is free for a hedge.
 	NoFreeHedgeSlot = "nospare"
 )
@@ -65,7 +67,7 @@
 		return s.rejectUnmeetableDeadline(request, capacity, now)
 	}
 	if request.IsHedge {
-		if !s.hasHedgeSlot(capacity) {
+		if !s.hasHedgeSlot(capacity) || s.linkWaitOfHedge(request, now) > 0 {
 			return s.reject(request, NoFreeHedgeSlot, 0, capacity, now)
 		}
 		return nil
@@ -75,9 +77,12 @@
 	if request.missesObjective {
 		mayWait := !s.isOverloaded() && ahead == s.countLate() &&
 			float64(ahead) < maxLateQueueRatio*float64(capacity.slots)
-		if !mayWait && ahead >= capacity.unreservedSlots() {
+		if !mayWait && (ahead >= capacity.unreservedSlots() || s.linkWait(request, now) > 0) {
 			return s.rejectLate(request, ahead, capacity, now)
 		}
+		if wait := s.linkWait(request, now); wait > time.Duration(maxRetryAfterRatio*float64(request.Deadline.Sub(now))) {
+			return s.reject(request, LinkFull, wait, capacity, now)
+		}
 		request.maxWaitUntil = earlier(
 			now.Add(time.Duration(maxRetryAfterRatio*float64(request.Deadline.Sub(now)))),
 			s.latestStart(request, now),
@@ -89,12 +94,17 @@
 		// A slot on a slow host does not become free in time, so it is not waited for.
 		wait = s.estimateWait(request, ahead-capacity.free+1, capacity.fastSlots, capacity, now)
 	}
-	if s.canMeetObjective(request, time.Duration(waitSafetyFactor*float64(wait)), capacity, now) {
-		s.onTimeRejectionRatio.add(0)
-		return nil
+	if !s.canMeetObjective(request, time.Duration(waitSafetyFactor*float64(wait)), capacity, now) {
+		s.onTimeRejectionRatio.add(1)
+		return s.reject(request, Overload, wait, capacity, now)
+	}
+	linkWait := s.linkWait(request, now)
+	if !s.canMeetObjective(request, 0, capacity, now.Add(time.Duration(waitSafetyFactor*float64(linkWait)))) {
+		s.onTimeRejectionRatio.add(1)
+		return s.reject(request, LinkFull, linkWait, capacity, now)
 	}
-	s.onTimeRejectionRatio.add(1)
-	return s.reject(request, Overload, wait, capacity, now)
+	s.onTimeRejectionRatio.add(0)
+	return nil
 }
 
 // HasHedgeSlot reports whether a slot is free for a hedge.
@@ -185,7 +195,10 @@
 	return s.reject(
 		request,
 		Overload,
-		s.estimateWait(request, ahead-capacity.unreservedSlots()+1, capacity.slots, capacity, now),
+		max(
+			s.estimateWait(request, ahead-capacity.unreservedSlots()+1, capacity.slots, capacity, now),
+			s.linkWait(request, now),
+		),
 		capacity,
 		now,
 	)
--- a/internal/core/mtscheduler/scheduler.go
+++ b/internal/core/mtscheduler/scheduler.go
@@ -54,6 +54,8 @@
 	ReportAge time.Duration
 	// HasReport is set when the endpoint has reported its load.
 	HasReport bool
+	// expectedBytes is the size of the response that was reserved on the link.
+	expectedBytes float64
 }
 
 // Scheduler holds the endpoints and the waiting requests of one service.
@@ -82,6 +84,8 @@
 	random            *rand.Rand
 	// connectionPool holds the connections to the endpoints; it may be nil.
 	connectionPool connectionPool
+	link           link
+	linkBytesAhead func(request *Request, expectedBytes float64) float64
 	// probeRate bounds the probes of one endpoint, in probes per second.
 	probeRate float64
 	// hasReports is set once an endpoint has reported its load, and missingReports is the number of responses without a
@@ -135,6 +139,10 @@
 		},
 		random:    random,
 		probeRate: defaultProbeRate,
+		link:      unlimitedLink{},
+		linkBytesAhead: func(*Request, float64) float64 {
+			return 0
+		},
 	}
 	for _, option := range options {
 		option(scheduler)
@@ -185,13 +193,18 @@
 // compareRequests orders requests: those that can still meet their objective first, then by priority, then by
 // objective.
 func compareRequests(a, b *Request) int {
-	if a.missesObjective != b.missesObjective {
-		if a.missesObjective {
+	return cmp.Or(a.compareUrgency(b), cmp.Compare(a.ID, b.ID))
+}
+
+// compareUrgency orders requests as compareRequests does, without the order of arrival.
+func (r *Request) compareUrgency(other *Request) int {
+	if r.missesObjective != other.missesObjective {
+		if r.missesObjective {
 			return 1
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Objective.Compare(b.Objective), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(r.Priority, other.Priority), r.Objective.Compare(other.Objective))
 }
 
 // Cancel removes a waiting request and reports whether it was still in the queue.
@@ -258,8 +271,16 @@
 			decisions.runAgainBy(s.nextDecisionAt(request, now))
 			continue
 		}
+		if wait := s.linkWaitOfNext(request, now); wait > 0 {
+			waiting = append(waiting, request)
+			decisions.runAgainBy(s.nextDecisionAt(request, now))
+			decisions.runAgainBy(now.Add(wait))
+			continue
+		}
 		assignment, retryAt := s.chooseEndpoint(request, now, &decisions.Probes)
 		if assignment != nil {
+			assignment.expectedBytes = s.expectedBytes(request)
+			s.link.Reserve(assignment.expectedBytes, now)
 			assignment.Endpoint.recordStart(now)
 			s.estimateOf(request).recordSent(now)
 			decisions.Assignments = append(decisions.Assignments, *assignment)
@@ -290,6 +311,7 @@
 // Complete records the end of an assigned request.
 func (s *Scheduler) Complete(assignment Assignment, route string, result AttemptResult, now time.Time) {
 	assignment.Endpoint.recordResult(result, now)
+	s.link.Settle(assignment.expectedBytes, float64(result.ResponseBytes), now)
 	s.addEstimateError(assignment, result)
 	if result.Verdict != Served {
 		return
--- a/internal/node/mtgateway/dispatch.go
+++ b/internal/node/mtgateway/dispatch.go
@@ -1,7 +1,10 @@
 package mtgateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/mangotack/mangotack/internal/core/mtresponse"
@@ -69,8 +72,39 @@
 // reasonExpired is the refusal reason for a request that waited until its context ended.
 const reasonExpired = "expired"
 
-// dispatch assigns waiting requests of one service to endpoints; the caller holds g.mu.
+// dispatch assigns waiting requests of one service to endpoints; the caller holds g.mu. While the link limits the requests,
+// those of all services are assigned in the order of their urgency.
 func (g *Gateway) dispatch(service string, now time.Time) {
+	if g.link.Wait(0, 0, true, now) == 0 {
+		g.dispatchService(service, now)
+		return
+	}
+	services := []string{service}
+	for other, placer := range g.placers {
+		if other != service && placer.Len() > 0 {
+			services = append(services, other)
+		}
+	}
+	slices.SortFunc(services, func(a, b string) int {
+		return cmp.Or(mtscheduler.CompareUrgency(g.placerFor(a).MostUrgent(), g.placerFor(b).MostUrgent()), strings.Compare(a, b))
+	})
+	for _, each := range services {
+		g.dispatchService(each, now)
+	}
+}
+
+// linkBytesAhead returns the expected bytes of the responses to the waiting requests that go before a request, which has
+// expectedBytes itself; the caller holds g.mu.
+func (g *Gateway) linkBytesAhead(request *mtscheduler.Request, expectedBytes float64) float64 {
+	bytes := 0.0
+	for _, placer := range g.placers {
+		bytes += placer.BytesAhead(request, expectedBytes)
+	}
+	return bytes
+}
+
+// dispatchService assigns waiting requests of one service to endpoints; the caller holds g.mu.
+func (g *Gateway) dispatchService(service string, now time.Time) {
 	placer := g.placerFor(service)
 	binding := placer.Schedule(now)
 	for _, grant := range binding.Assignments {
--- a/internal/node/mtgateway/feed_changes.go
+++ b/internal/node/mtgateway/feed_changes.go
@@ -253,6 +253,7 @@
 			g.settings().Centre,
 			rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			mtscheduler.WithConnectionPool(g.endpointPool),
+			mtscheduler.WithLink(g.link, g.linkBytesAhead),
 		)
 		placer.SetProbeRate(g.maxProbesPerSecond)
 		g.placers[service] = placer
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtbandwidth"
 	"github.com/mangotack/mangotack/internal/core/mtreach"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
 	"github.com/mangotack/mangotack/internal/core/mtreplication"
@@ -51,6 +52,7 @@
 		registry:      mtregistry.NewRegistry(),
 		targets:       map[string]*mtscheduler.Endpoint{},
 		placers:       map[string]*mtscheduler.Scheduler{},
+		link:          mtbandwidth.NewLimiter(0),
 
 		loggedInvalidRetryAfter: map[string]bool{},
 		loggedInvalidLimits:     map[string]bool{},
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/mangotack/mangotack/internal/adapter/mtingress"
 	"github.com/mangotack/mangotack/internal/adapter/mtmesh"
 	"github.com/mangotack/mangotack/internal/adapter/mtupstream"
+	"github.com/mangotack/mangotack/internal/core/mtbandwidth"
 	"github.com/mangotack/mangotack/internal/core/mtmembership"
 	"github.com/mangotack/mangotack/internal/core/mtreach"
 	"github.com/mangotack/mangotack/internal/core/mtregistry"
@@ -103,10 +104,12 @@
 	lastMembersEra uint64
 
 	// mu is locked before the mutex of the endpoint pool.
-	mu             sync.Mutex
-	registry       *mtregistry.Registry
-	targets        map[string]*mtscheduler.Endpoint
-	placers        map[string]*mtscheduler.Scheduler
+	mu       sync.Mutex
+	registry *mtregistry.Registry
+	targets  map[string]*mtscheduler.Endpoint
+	placers  map[string]*mtscheduler.Scheduler
+	// link limits the requests to what the own link can carry.
+	link           *mtbandwidth.Limiter
 	waiters        map[uint64]*waiter
 	nextDispatches map[string]time.Time
 	// loggedInvalidRetryAfter contains the endpoints that sent an invalid Retry-After; each is logged once.
@@ -171,6 +174,7 @@
 		registry:          mtregistry.NewRegistry(),
 		targets:           map[string]*mtscheduler.Endpoint{},
 		placers:           map[string]*mtscheduler.Scheduler{},
+		link:              mtbandwidth.NewLimiter(settings.Link),
 		waiters:           map[uint64]*waiter{},
 		nextDispatches:    map[string]time.Time{},
 
@@ -233,6 +237,11 @@
 		defer g.mu.Unlock()
 		return float64(len(g.waiters))
 	})
+	g.metrics.addGauge("mangotack_gateway_link_wait_seconds", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.link.Wait(0, 0, true, time.Now()).Seconds()
+	})
 	g.metrics.addGauge("mangotack_gateway_endpoints", func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -299,6 +308,9 @@
 		previous.Calls, previous.Ready, previous.Directory, previous.Mesh
 	updated.Metrics, updated.Store, updated.Relay = previous.Metrics, previous.Store, previous.Relay
 	g.currentSettings.Store(&updated)
+	g.mu.Lock()
+	g.link.SetLink(updated.Link)
+	g.mu.Unlock()
 	g.retryBudgets.setRatio(updated.RetryPart, updated.RetryWindow, now)
 	g.mesh.AddSeeds(updated.Seeds, now)
 	g.wakeRoleSelection()
