A connection ends only behind the response to the last request that was taken on it

In a planned stop, requests that callers had sent together on one connection all ran when the signal came; the first response said "Connection: close" and the others were cut, although endpoints ran them. So was a request sent behind a running one up to the end of the grace period. Cause: each response decided alone that it was the last, by a flag of the server, while the reader of the connection took further requests. Class: two goroutines decide on the end of one thing without a common state.

The connection now has one state under one lock: what is taken and not answered, whether a request is arriving, whether the end is decided. The last response is the one with nothing taken or arriving behind it, and no request is taken once it is decided. Once the server has stopped accepting, no connection takes a further request either; what the caller still sends is read and dropped, so that its disconnect is noticed.

--- a/internal/adapter/mtingress/connection.go
+++ b/internal/adapter/mtingress/connection.go
@@ -1,6 +1,9 @@
 // One goroutine reads the requests of a connection, and one goroutine per request handles it and writes its response
 // after those of the earlier requests. Reading continues while requests are handled, so a disconnect of the caller is
 // noticed at once.
+//
+// A request that was taken is answered before the connection ends: the server closes it only behind the response to the
+// last request that was taken, and takes none after it has decided so.
 
 package mtingress
 
@@ -12,7 +15,7 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -38,12 +41,19 @@
 	reader *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
-	// unansweredCount counts the requests that are read but not answered.
-	unansweredCount atomic.Int64
-	// closing is set once a response with "Connection: close" was written.
-	closing atomic.Bool
 	// pipelineSlots is a semaphore of maxPipelinedRequests slots.
 	pipelineSlots chan struct{}
+
+	// mu guards the fields below and the setting of the read deadline; it is a leaf.
+	mu sync.Mutex
+	// unanswered counts the requests that were taken and are not answered.
+	unanswered int
+	// reading is set from the first byte of a request until it is taken.
+	reading bool
+	// closing is set before a response with "Connection: close" is written.
+	closing bool
+	// drained is set once no further request is read.
+	drained bool
 }
 
 // limitedReader limits the bytes read for a header; remaining is negative while no limit applies.
@@ -95,41 +105,38 @@
 	defer c.cancel()
 	prior := make(chan struct{})
 	close(prior)
-	refused := false
-	for !refused {
+	isRefused := false
+	for !isRefused {
 		call, refusal := c.readRequest()
-		if call == nil && refusal == nil {
+		if call == nil && refusal == nil || !c.take() {
 			break
 		}
 		c.pipelineSlots <- struct{}{}
-		c.unansweredCount.Add(1)
 		c.server.unansweredCount.Add(1)
 		done := make(chan struct{})
 		go c.reply(call, refusal, prior, done)
 		prior = done
-		refused = refusal != nil
+		isRefused = refusal != nil
 	}
-	// A caller that has disconnected can't read responses, so its requests are cancelled.
-	if !refused && !c.closing.Load() {
+	if !isRefused && !c.awaitLastResponse() {
+		// A caller that has disconnected can't read responses, so its requests are cancelled.
 		c.cancel()
 	}
 	<-prior
-	if c.closing.Load() {
-		c.linger()
-	}
+	c.linger()
 }
 
-// readRequest returns the next request, or the response to an invalid one, or neither at the end of the connection.
+// readRequest returns the next request, or the response to one that can't be read, or neither if there is no further one.
 func (c *connection) readRequest() (*Call, *Response) {
 	limits := c.server.limits().withDefaults()
 	if !c.waitForRequest(limits) {
 		return nil, nil
 	}
 	arrived := time.Now()
-	c.source.remaining = max(minHeaderLimitBytes, limits.Header) + readBufferSize
-	if limits.HeaderTime > 0 {
-		_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTime))
+	if !c.beginReading(arrived, limits) {
+		return nil, nil
 	}
+	c.source.remaining = max(minHeaderLimitBytes, limits.Header) + readBufferSize
 	request, err := http.ReadRequest(c.reader)
 	c.source.remaining = -1
 	if err != nil {
@@ -147,7 +154,6 @@
 	if refused != nil {
 		return nil, refused
 	}
-	_ = c.conn.SetReadDeadline(time.Time{})
 	return &Call{
 		Request:   request,
 		Body:      body,
@@ -155,26 +161,105 @@
 	}, nil
 }
 
-// waitForRequest blocks until the first byte of a request is available and reports whether there is one.
+// waitForRequest blocks until the first byte of a request is available and reports whether there is one to read.
 func (c *connection) waitForRequest(limits Limits) bool {
 	for {
-		if c.unansweredCount.Load() == 0 && limits.Idle > 0 {
-			_ = c.conn.SetReadDeadline(time.Now().Add(limits.Idle))
-		}
-		_, err := c.reader.Peek(1)
-		switch {
-		case c.closing.Load():
+		if !c.setIdleDeadline(limits.Idle) {
 			return false
-		case err == nil:
+		}
+		if _, err := c.reader.Peek(1); err == nil {
 			return true
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.unansweredCount.Load() > 0:
-			_ = c.conn.SetReadDeadline(time.Time{})
-		default:
+		} else if !errors.Is(err, os.ErrDeadlineExceeded) || !c.hasUnanswered() {
 			return false
 		}
 	}
 }
 
+// setIdleDeadline sets the read deadline of a connection on which no request arrives. It reports whether further requests
+// may be read.
+func (c *connection) setIdleDeadline(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.drained {
+		return false
+	}
+	deadline := time.Time{}
+	if c.unanswered == 0 && idle > 0 {
+		deadline = time.Now().Add(idle)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+	return true
+}
+
+func (c *connection) hasUnanswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unanswered > 0
+}
+
+// beginReading marks that a request has begun to arrive, and sets the deadline for it. It reports whether it may be read.
+func (c *connection) beginReading(now time.Time, limits Limits) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.drained {
+		return false
+	}
+	c.reading = true
+	_ = c.conn.SetReadDeadline(now.Add(limits.HeaderTime))
+	return true
+}
+
+// take counts the request that was read, or its refusal, as unanswered. It reports false if the last response is on its
+// way, so that the request must not be handled.
+func (c *connection) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.closing {
+		return false
+	}
+	c.unanswered++
+	if !c.drained {
+		_ = c.conn.SetReadDeadline(time.Time{})
+	}
+	return true
+}
+
+// drain makes the connection take no further request.
+func (c *connection) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drained = true
+	if !c.closing {
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// awaitLastResponse discards what the caller still sends until no response is outstanding. It reports false as soon as the
+// caller has disconnected.
+func (c *connection) awaitLastResponse() bool {
+	for {
+		c.mu.Lock()
+		isDone := c.closing || c.unanswered == 0
+		if !isDone {
+			_ = c.conn.SetReadDeadline(time.Time{})
+		}
+		c.mu.Unlock()
+		if isDone {
+			return true
+		}
+		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c.isClosing()
+		}
+	}
+}
+
+func (c *connection) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // headerErrorResponse returns the response to a request whose header can't be read, or nil if the connection has
 // failed.
 func (c *connection) headerErrorResponse(err error) *Response {
@@ -225,11 +310,7 @@
 func (c *connection) reply(call *Call, reply *Response, prior <-chan struct{}, done chan struct{}) {
 	defer func() {
 		c.server.unansweredCount.Add(-1)
-		if c.unansweredCount.Add(-1) == 0 {
-			if idle := c.server.limits().Idle; idle > 0 {
-				_ = c.conn.SetReadDeadline(time.Now().Add(idle))
-			}
-		}
+		c.endRequest()
 		close(done)
 		<-c.pipelineSlots
 	}()
@@ -239,7 +320,7 @@
 	}
 	<-prior
 	complete := false
-	if reply != nil && c.ctx.Err() == nil && !c.closing.Load() {
+	if reply != nil && c.ctx.Err() == nil {
 		complete = c.write(call, reply)
 	}
 	if reply != nil && reply.OnWritten != nil {
@@ -251,10 +332,32 @@
 	}
 }
 
+// endRequest counts a request as answered. The last one ends the wait for further input, unless another request arrives.
+func (c *connection) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered--
+	switch idle := c.server.limits().Idle; {
+	case c.unanswered > 0 || c.closing:
+	case c.drained:
+		_ = c.conn.SetReadDeadline(time.Now())
+	case idle > 0:
+		_ = c.conn.SetReadDeadline(time.Now().Add(idle))
+	}
+}
+
+// decideClose decides whether the response to a call, or to a request that could not be read, is the last one.
+func (c *connection) decideClose(call *Call) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = call == nil || call.Request.Close ||
+		(c.drained || c.server.keepAliveDisabled.Load()) && c.unanswered == 1 && !c.reading
+	return c.closing
+}
+
 // write reports whether the complete response was written. After the last response it half-closes the connection.
 func (c *connection) write(call *Call, response *Response) bool {
-	closeAfter := c.server.keepAliveDisabled.Load() || call == nil || call.Request.Close ||
-		response.Header.Get("Connection") == "close"
+	closeAfter := c.decideClose(call)
 	if closeAfter {
 		response.Header.Set("Connection", "close")
 	}
@@ -267,25 +370,23 @@
 		return false
 	}
 	if closeAfter {
-		c.closing.Store(true)
 		if writeCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
 			_ = writeCloser.CloseWrite()
 		}
+		c.mu.Lock()
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		c.mu.Unlock()
 	}
 	return true
 }
 
-// linger discards what the caller still sends, because closing a socket with unread input resets the connection.
+// linger discards what the caller still sends after the last response, because closing a socket with unread input resets
+// the connection.
 func (c *connection) linger() {
+	if !c.isClosing() {
+		return
+	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	c.source.remaining = -1
 	_, _ = io.Copy(io.Discard, c.reader)
 }
-
-// closeIdle makes run end unless a request has been read and is not answered yet.
-func (c *connection) closeIdle() {
-	if c.unansweredCount.Load() == 0 {
-		_ = c.conn.SetReadDeadline(time.Now())
-	}
-}
--- a/internal/adapter/mtingress/server.go
+++ b/internal/adapter/mtingress/server.go
@@ -133,19 +133,20 @@
 	return int(s.unansweredCount.Load())
 }
 
-// DisableKeepAlive makes each further response the last one of its connection, by "Connection: close".
+// DisableKeepAlive makes each further response the last one of its connection, by "Connection: close", unless requests
+// behind it were taken before or are arriving.
 func (s *Server) DisableKeepAlive() {
 	s.keepAliveDisabled.Store(true)
 }
 
-// Close stops accepting and closes the idle connections.
+// Close stops accepting connections and requests, and closes the idle connections.
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	for connection := range s.connections {
-		connection.closeIdle()
+		connection.drain()
 	}
 }
 
