A request that has begun to arrive is read to its end in a planned stop

A request whose head arrived when the instance stopped accepting was answered 400, although it was sound, and one whose body arrived was dropped with its connection. Cause: the read was ended by a deadline in the past, and the parser of the header returns half a line as a whole one instead of the error, so that it looked malformed. The same at any time for a request that is slower than the bound for its header: 400 or a closed connection.

A request that has begun is now read until half of the grace period is over; the rest is left to run it. What is not complete by then is refused with 503 (`leaving`), and what is too slow at any other time with 408; both say truly that it has not run. The error of the connection is kept beside the parser's. TestClosedServerReadsRequestThatHasBegun failed before with 400, TestRequestThatIsNotCompleteInTimeIsNotCalledBad with 400 and closed connections.

--- a/internal/adapter/mtingress/connection.go
+++ b/internal/adapter/mtingress/connection.go
@@ -17,6 +17,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
 const (
@@ -32,6 +34,9 @@
 	readBufferSize      = 4 << 10
 )
 
+// reasonLeaving is the refusal reason of a request that is not complete when the server must stop reading.
+const reasonLeaving = "leaving"
+
 var errHeaderTooLarge = errors.New("header too large")
 
 type connection struct {
@@ -48,11 +53,12 @@
 	mu sync.Mutex
 	// unanswered counts the requests that were taken and are not answered.
 	unanswered int
-	// reading is set from the first byte of a request until it is taken.
+	// reading is set from the first byte of a request until it is taken; readBy is when it must be complete.
 	reading bool
+	readBy  time.Time
 	// closing is set before a response with "Connection: close" is written.
 	closing bool
-	// drained is set once no further request is read.
+	// drained is set once no further request is read, except for one that has begun to arrive.
 	drained bool
 }
 
@@ -60,6 +66,8 @@
 type limitedReader struct {
 	conn      net.Conn
 	remaining int
+	// err is the last error of the connection. The parser of a header may replace it by one of its own.
+	err error
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -70,6 +78,7 @@
 		p = p[:l.remaining]
 	}
 	n, err := l.conn.Read(p)
+	l.err = err
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
@@ -140,7 +149,7 @@
 	request, err := http.ReadRequest(c.reader)
 	c.source.remaining = -1
 	if err != nil {
-		return nil, c.headerErrorResponse(err)
+		return nil, c.readErrorResponse(err)
 	}
 	if request.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -149,7 +158,7 @@
 	}
 	body, refused, err := c.readBody(request, limits)
 	if err != nil {
-		return nil, nil
+		return nil, c.readErrorResponse(err)
 	}
 	if refused != nil {
 		return nil, refused
@@ -205,7 +214,8 @@
 		return false
 	}
 	c.reading = true
-	_ = c.conn.SetReadDeadline(now.Add(limits.HeaderTime))
+	c.readBy = now.Add(limits.HeaderTime)
+	_ = c.conn.SetReadDeadline(c.readBy)
 	return true
 }
 
@@ -225,13 +235,18 @@
 	return true
 }
 
-// drain makes the connection take no further request.
-func (c *connection) drain() {
+// drain makes the connection take no further request. One that has begun to arrive is read if it is complete by readUntil.
+func (c *connection) drain(readUntil time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drained = true
-	if !c.closing {
+	switch {
+	case c.closing:
+	case !c.reading:
 		_ = c.conn.SetReadDeadline(time.Now())
+	case readUntil.Before(c.readBy):
+		c.readBy = readUntil
+		_ = c.conn.SetReadDeadline(readUntil)
 	}
 }
 
@@ -260,6 +275,21 @@
 	return c.closing
 }
 
+// readErrorResponse returns the response to a request that can't be read, or nil if the connection has failed.
+func (c *connection) readErrorResponse(err error) *Response {
+	if !errors.Is(c.source.err, os.ErrDeadlineExceeded) {
+		return c.headerErrorResponse(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.drained {
+		return withConnectionClose(NewResponse(http.StatusServiceUnavailable, http.Header{
+			mtoutcome.ReasonHeader: {reasonLeaving},
+		}, nil))
+	}
+	return withConnectionClose(NewResponse(http.StatusRequestTimeout, http.Header{}, nil))
+}
+
 // headerErrorResponse returns the response to a request whose header can't be read, or nil if the connection has
 // failed.
 func (c *connection) headerErrorResponse(err error) *Response {
@@ -267,17 +297,12 @@
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
+	case c.source.err != nil:
 		return nil
 	}
 	return withConnectionClose(NewResponse(status, http.Header{}, []byte(err.Error()+"\n")))
 }
 
-func isNetworkError(err error) bool {
-	var networkErr net.Error
-	return errors.As(err, &networkErr)
-}
-
 func withConnectionClose(response *Response) *Response {
 	response.Header.Set("Connection", "close")
 	return response
--- a/internal/adapter/mtingress/drain_test.go
+++ b/internal/adapter/mtingress/drain_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mangotack/mangotack/pkg/mtoutcome"
 )
 
 // blockingHandler answers each request once it is released, and counts those that it has begun.
@@ -86,7 +88,7 @@
 	c.send(t, "GET /1 HTTP/1.1\nHost: a\n\n")
 	<-handler.begun
 	server.DisableKeepAlive()
-	server.Close()
+	server.Close(time.Now().Add(time.Minute))
 	c.send(t, "GET /2 HTTP/1.1\nHost: a\n\n")
 	// The bytes are read before the end of the connection, so waiting for it to be idle is not needed.
 	time.Sleep(50 * time.Millisecond)
@@ -103,7 +105,7 @@
 	c.send(t, "GET /1 HTTP/1.1\nHost: a\n\n")
 	<-handler.begun
 	server.DisableKeepAlive()
-	server.Close()
+	server.Close(time.Now().Add(time.Minute))
 	require.NoError(t, c.Close())
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -112,6 +114,75 @@
 	require.EqualValues(t, 1, handler.cut.Load())
 }
 
+// A request that has begun to arrive when the server stops accepting is read to its end.
+func TestClosedServerReadsRequestThatHasBegun(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"request line": {"GET /1 HT", "TP/1.1\nHost: a\n\n"},
+		"header":       {"GET /1 HTTP/1.1\nHo", "st: a\n\n"},
+		"body":         {"POST /1 HTTP/1.1\nHost: a\nContent-Length: 4\n\nab", "cd"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newTestServer(t, Limits{}, echoHandler)
+			c := dial(t, server)
+			c.send(t, "GET /0 HTTP/1.1\nHost: a\n\n")
+			c.receive(t)
+			c.send(t, parts[0])
+			awaitReading(t, server)
+			server.DisableKeepAlive()
+			server.Close(time.Now().Add(time.Minute))
+			c.send(t, parts[1])
+			response, body := c.receive(t)
+			require.Equal(t, http.StatusOK, response.StatusCode, body)
+			require.True(t, response.Close)
+		})
+	}
+}
+
+// A request that is not complete in time was not bad: its caller learns that it was too slow, or that the instance ends.
+func TestRequestThatIsNotCompleteInTimeIsNotCalledBad(t *testing.T) {
+	for name, part := range map[string]string{
+		"request line": "GET /1 HT",
+		"header":       "GET /1 HTTP/1.1\nHo",
+		"body":         "POST /1 HTTP/1.1\nHost: a\nContent-Length: 4\n\nab",
+	} {
+		t.Run(name, func(t *testing.T) {
+			slow := dial(t, newTestServer(t, Limits{HeaderTime: 20 * time.Millisecond}, echoHandler))
+			slow.send(t, part)
+			response, _ := slow.receive(t)
+			require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+			require.True(t, response.Close)
+
+			server := newTestServer(t, Limits{}, echoHandler)
+			cut := dial(t, server)
+			cut.send(t, part)
+			awaitReading(t, server)
+			server.Close(time.Now().Add(20 * time.Millisecond))
+			response, _ = cut.receive(t)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, reasonLeaving, response.Header.Get(mtoutcome.ReasonHeader))
+			require.True(t, response.Close)
+		})
+	}
+}
+
+// awaitReading waits until a connection of the server has received the start of a request.
+func awaitReading(t *testing.T, server *Server) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		for connection := range server.connections {
+			connection.mu.Lock()
+			reading := connection.reading
+			connection.mu.Unlock()
+			if reading {
+				return true
+			}
+		}
+		return false
+	}, time.Minute, time.Millisecond)
+}
+
 // A request that can't be read is refused after the answers to those before it.
 func TestBadRequestBehindRunningOnesDoesNotCutThem(t *testing.T) {
 	handler := newBlockingHandler()
--- a/internal/adapter/mtingress/server.go
+++ b/internal/adapter/mtingress/server.go
@@ -139,14 +139,15 @@
 	s.keepAliveDisabled.Store(true)
 }
 
-// Close stops accepting connections and requests, and closes the idle connections.
-func (s *Server) Close() {
+// Close stops accepting connections and requests, and closes the idle connections. A request that has begun to arrive is
+// read if it is complete by readUntil, and is refused otherwise.
+func (s *Server) Close(readUntil time.Time) {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	for connection := range s.connections {
-		connection.drain()
+		connection.drain(readUntil)
 	}
 }
 
--- a/internal/adapter/mtingress/server_test.go
+++ b/internal/adapter/mtingress/server_test.go
@@ -28,7 +28,7 @@
 	server, err := NewServer("127.0.0.1:0", handle, func() Limits { return limits })
 	require.NoError(t, err)
 	go server.Serve(failOnAcceptError(t))
-	t.Cleanup(server.Close)
+	t.Cleanup(func() { server.Close(time.Now()) })
 	return server
 }
 
@@ -192,7 +192,7 @@
 	active.send(t, "GET /1 HTTP/1.1\nHost: a\n\n")
 	<-received
 	server.DisableKeepAlive()
-	server.Close()
+	server.Close(time.Now().Add(time.Minute))
 	_, err := idle.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF, "idle connection is not closed")
 	close(release)
@@ -221,7 +221,7 @@
 	c.send(t, "GET /2 HTTP/1.1\nHost: a\n\n")
 	_, err := c.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
-	server.Close()
+	server.Close(time.Now())
 	server.Wait(t.Context())
 	require.EqualValues(t, 1, handled.Load())
 }
@@ -269,7 +269,7 @@
 			closed: make(chan struct{}),
 		}, handlerFunc(echoHandler), func() Limits { return Limits{} })
 		go server.Serve(failOnAcceptError(t))
-		server.Close()
+		server.Close(time.Now().Add(time.Minute))
 		_, err := clientSide.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
 		server.Wait(t.Context())
@@ -291,7 +291,7 @@
 			server.Serve(failOnAcceptError(t))
 			close(ended)
 		}()
-		server.Close()
+		server.Close(time.Now().Add(time.Minute))
 		server.Wait(t.Context())
 		<-ended
 	}
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -429,10 +429,11 @@
 		ingress.DisableKeepAlive()
 	}
 	time.Sleep(g.settings().Stay)
+	deadline := started.Add(g.settings().Grace - shutdownMargin)
 	for _, ingress := range g.ingresses() {
-		ingress.Close()
+		// The second half of the time is left to run what was read.
+		ingress.Close(started.Add(deadline.Sub(started) / 2))
 	}
-	deadline := started.Add(g.settings().Grace - shutdownMargin)
 	for g.unansweredCount() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
