Nothing behind a caller's own "Connection: close" is taken for a request

What a caller sends behind a request with "Connection: close" was passed on to an endpoint, and then cut, because the response to that request ends the connection. The same cause as in a planned stop: the reader went on after the end was decided, here by the caller. Reading now ends with such a request. TestRequestBehindCallersOwnConnectionCloseIsNotTaken failed before (the second request ran).

--- a/internal/adapter/mtingress/connection.go
+++ b/internal/adapter/mtingress/connection.go
@@ -114,8 +114,8 @@
 	defer c.cancel()
 	prior := make(chan struct{})
 	close(prior)
-	isRefused := false
-	for !isRefused {
+	isRefused, isLast := false, false
+	for !isRefused && !isLast {
 		call, refusal := c.readRequest()
 		if call == nil && refusal == nil || !c.take() {
 			break
@@ -126,6 +126,8 @@
 		go c.reply(call, refusal, prior, done)
 		prior = done
 		isRefused = refusal != nil
+		// A caller that sends "Connection: close" sends no request after it.
+		isLast = call != nil && call.Request.Close
 	}
 	if !isRefused && !c.awaitLastResponse() {
 		// A caller that has disconnected can't read responses, so its requests are cancelled.
--- a/internal/adapter/mtingress/drain_test.go
+++ b/internal/adapter/mtingress/drain_test.go
@@ -183,6 +183,19 @@
 	}, time.Minute, time.Millisecond)
 }
 
+// The caller says that its request is the last one on the connection; what follows must not run.
+func TestRequestBehindCallersOwnConnectionCloseIsNotTaken(t *testing.T) {
+	handler := newBlockingHandler()
+	server := newTestServer(t, Limits{}, handler.handle)
+	c := dial(t, server)
+	c.send(t, "GET /1 HTTP/1.1\nHost: a\nConnection: close\n\nGET /2 HTTP/1.1\nHost: a\n\n")
+	<-handler.begun
+	time.Sleep(50 * time.Millisecond)
+	close(handler.released)
+	c.receiveAll(t, "/1")
+	require.Empty(t, handler.begun)
+}
+
 // A request that can't be read is refused after the answers to those before it.
 func TestBadRequestBehindRunningOnesDoesNotCutThem(t *testing.T) {
 	handler := newBlockingHandler()
