An answer does not shorten the time of a request that is still read

When the last response on a connection was written, its read deadline became that of an idle connection, also while the body of a further request was arriving: that one was cut if it took longer than the idle time, within the bound for requests. Found on looking for what else ends a connection with a request on it. The idle deadline is set only if nothing arrives. TestAnswerDoesNotShortenTimeOfRequestThatIsRead failed before (unexpected EOF).

--- a/internal/adapter/mtingress/connection.go
+++ b/internal/adapter/mtingress/connection.go
@@ -365,7 +365,7 @@
 	defer c.mu.Unlock()
 	c.unanswered--
 	switch idle := c.server.limits().Idle; {
-	case c.unanswered > 0 || c.closing:
+	case c.unanswered > 0 || c.reading || c.closing:
 	case c.drained:
 		_ = c.conn.SetReadDeadline(time.Now())
 	case idle > 0:
