What can't end in the grace period is answered before the instance ends

Requests that endpoints still ran at the end of the grace period were cut with no answer, also those that may not be repeated: the instance waited until 0.4 s before the end and closed. Late requests had deadlines beyond the end, which endpoints were told as well. Class: a deadline of the callers that knows nothing of one's own end.

From the signal on no deadline lies beyond the end, so a request that can't be answered by then is refused on arrival where its estimate tells, and endpoints learn the time that there is. 0.6 s before the end what is open is answered: 504 if an endpoint may have run it, else 503 with the reason `leaving`.

--- a/internal/node/mtgateway/active_request.go
+++ b/internal/node/mtgateway/active_request.go
@@ -129,6 +129,7 @@
 	}
 	attemptsCtx, cancel := context.WithDeadline(ctx, a.deadline)
 	a.cancelAll = cancel
+	defer context.AfterFunc(a.gateway.drainEnded, cancel)()
 	a.startAttempt(attemptsCtx, false)
 	a.countRequest()
 	hedgeTimer := time.NewTimer(a.hedgeDelay())
--- a/internal/node/mtgateway/active_request_end.go
+++ b/internal/node/mtgateway/active_request_end.go
@@ -112,7 +112,8 @@
 	return minRetryDelay
 }
 
-// handleContextDone answers a request whose deadline has passed; it returns nil when the caller has disconnected.
+// handleContextDone answers a request whose deadline has passed, or whose instance ends; it returns nil when the caller has
+// disconnected.
 func (a *activeRequest) handleContextDone(ctx context.Context) *mtingress.Response {
 	defer a.cancelAll()
 	if ctx.Err() != nil {
@@ -146,6 +147,9 @@
 		status = http.StatusGatewayTimeout
 	}
 	a.reason = reasonTimeout
+	if a.gateway.drainEnded.Err() != nil {
+		a.reason = reasonLeaving
+	}
 	a.gateway.metrics.countRequest(a.service, a.reason, elapsed)
 	a.logRefusal(status, elapsed)
 	return newRefusalAnswer(status, a.reason, 0)
--- a/internal/node/mtgateway/active_request_test.go
+++ b/internal/node/mtgateway/active_request_test.go
@@ -23,6 +23,7 @@
 	logger.SetOutput(io.Discard)
 	return &activeRequest{
 		gateway: &Gateway{
+			drainEnded:   context.Background(),
 			metrics:      newGatewayMetrics(),
 			requestLog:   newRequestLog(logger),
 			retryBudgets: newRetryBudgets(0, time.Second),
--- a/internal/node/mtgateway/feeds_test.go
+++ b/internal/node/mtgateway/feeds_test.go
@@ -1,6 +1,7 @@
 package mtgateway
 
 import (
+	"context"
 	"io"
 	"strconv"
 	"sync"
@@ -42,6 +43,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	gateway := &Gateway{
+		drainEnded:    context.Background(),
 		logger:        logger,
 		requestLog:    newRequestLog(logger),
 		recordDecoder: numericDecoder{},
--- a/internal/node/mtgateway/gateway.go
+++ b/internal/node/mtgateway/gateway.go
@@ -41,6 +41,8 @@
 	maintenanceInterval = time.Second
 	// shutdownMargin is the end of the shutdown grace period that drain leaves unused.
 	shutdownMargin = 400 * time.Millisecond
+	// answerMargin is the time for writing the last answers before drain ends.
+	answerMargin = 200 * time.Millisecond
 	// drainPollInterval is the time between two checks for unanswered requests.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -92,6 +94,10 @@
 	// lostServices are the services of which this instance reaches no endpoint.
 	lostServices atomic.Pointer[[]string]
 	leaving      atomic.Bool
+	// answerBy is when the last requests must be answered, once the instance leaves; drainEnded ends then.
+	answerBy   atomic.Pointer[time.Time]
+	drainEnded context.Context
+	endDrain   context.CancelFunc
 	// endpointsLoaded is set once the full list of endpoints has been read.
 	endpointsLoaded atomic.Bool
 
@@ -183,6 +189,7 @@
 		trackers:                map[string]*mtreach.Tracker{},
 	}
 	gateway.currentSettings.Store(settings)
+	gateway.drainEnded, gateway.endDrain = context.WithCancel(context.Background())
 	gateway.registerGauges()
 	return gateway, gateway.openListeners(newDirectoryHandler, now)
 }
@@ -416,12 +423,18 @@
 	return count
 }
 
-// drain directs callers to other instances, accepts late requests for a while, and finishes the open requests.
+// drain directs callers to other instances, accepts late requests for a while, and finishes the open requests. What can't be
+// finished in time is answered shortly before the end.
 func (g *Gateway) drain() {
 	started := time.Now()
 	mtevent.InstanceDraining.Log(g.logger, logrus.Fields{
 		"unanswered": g.unansweredCount(),
 	})
+	deadline := started.Add(g.settings().Grace - shutdownMargin)
+	answerBy := deadline.Add(-answerMargin)
+	g.answerBy.Store(&answerBy)
+	timer := time.AfterFunc(time.Until(answerBy), g.endDrain)
+	defer timer.Stop()
 	g.leaving.Store(true)
 	g.selectRoles(started)
 	g.mesh.SendHeartbeat(started)
@@ -429,7 +442,6 @@
 		ingress.DisableKeepAlive()
 	}
 	time.Sleep(g.settings().Stay)
-	deadline := started.Add(g.settings().Grace - shutdownMargin)
 	for _, ingress := range g.ingresses() {
 		// The second half of the time is left to run what was read.
 		ingress.Close(started.Add(deadline.Sub(started) / 2))
@@ -443,3 +455,11 @@
 		ingress.Wait(ctx)
 	}
 }
+
+// boundDeadline returns the deadline of a request, which is not later than the end of an instance that leaves.
+func (g *Gateway) boundDeadline(deadline time.Time) time.Time {
+	if answerBy := g.answerBy.Load(); answerBy != nil && answerBy.Before(deadline) {
+		return *answerBy
+	}
+	return deadline
+}
--- a/internal/node/mtgateway/handle.go
+++ b/internal/node/mtgateway/handle.go
@@ -24,6 +24,8 @@
 	timeoutMargin = 5 * time.Millisecond
 	// reasonNotReady is the refusal reason before the first configuration.
 	reasonNotReady = "notready"
+	// reasonLeaving is the refusal reason when the instance ends before an endpoint was found.
+	reasonLeaving = "leaving"
 	// reasonNoRoute is the refusal reason when the configuration has no route for the request.
 	reasonNoRoute = "noroute"
 )
@@ -107,7 +109,7 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	deadline = arrived.Add(timeout - timeoutMargin)
+	deadline = g.boundDeadline(arrived.Add(timeout - timeoutMargin))
 	if route.Objective <= 0 {
 		return attemptID, deadline, deadline
 	}
