--- a/internal/core/mtbandwidth/limiter.go
+++ b/internal/core/mtbandwidth/limiter.go
@@ -98,7 +98,7 @@
 	if missing < 0 {
 		return 0
 	}
-	// A request may be sent once nothing is missing.
+	// The microsecond makes up for rounding down.
 	return time.Duration(missing/l.bytesPerSecond*float64(time.Second)) + time.Microsecond
 }
 
--- a/internal/core/mtreach/silence.go
+++ b/internal/core/mtreach/silence.go
@@ -9,7 +9,7 @@
 	// minSilence is how long all endpoints must be silent to be taken for unreachable.
 	minSilence = 400 * time.Millisecond
 	// MaxCheckTime is the time after which a check without a response tells that a service is lost, although endpoints of
-	// others respond.
+	// other services respond.
 	MaxCheckTime = 1200 * time.Millisecond
 	// SilenceInterval is the time between two judgements of a silent check.
 	SilenceInterval = 50 * time.Millisecond
