--- a/internal/core/mtbandwidth/limiter.go
+++ b/internal/core/mtbandwidth/limiter.go
@@ -26,7 +26,7 @@
 	bytesPerMegabit = 1e6 / 8
 )
 
-// Limiter tells when a request may be sent so that the link can carry its response. It is not safe for concurrent use.
+// Limiter determines when a request may be sent so that the link can carry its response. It is not safe for concurrent use.
 type Limiter struct {
 	// linkBytesPerSecond is 0 if the link is not known; nothing is limited then.
 	linkBytesPerSecond float64
--- a/internal/core/mthelper/memory.go
+++ b/internal/core/mthelper/memory.go
@@ -55,7 +55,7 @@
 	delete(m.answered[service], helper)
 }
 
-// RecordCancelled records that a request was cancelled, which tells nothing of the helper.
+// RecordCancelled records that a request was cancelled, which says nothing about the helper.
 func (m *Memory) RecordCancelled(helper string) {
 	m.end(helper)
 }
--- a/internal/core/mthelper/memory_test.go
+++ b/internal/core/mthelper/memory_test.go
@@ -27,7 +27,11 @@
 }
 
 // countServed returns how many requests find one of the 12 among 120 helpers that do not decline.
-func countServed(requests, maxTries int, choose func(helpers []Helper, now time.Time) Helper, end func(helper string, declined bool, now time.Time)) int {
+func countServed(
+	requests, maxTries int,
+	choose func(helpers []Helper, now time.Time) Helper,
+	end func(helper string, declined bool, now time.Time),
+) int {
 	helpers := newHelpers(120)
 	reaching := map[string]bool{}
 	for _, helper := range helpers[:12] {
--- a/internal/core/mtreach/silence.go
+++ b/internal/core/mtreach/silence.go
@@ -8,14 +8,14 @@
 const (
 	// minSilence is how long all endpoints must be silent to be taken for unreachable.
 	minSilence = 400 * time.Millisecond
-	// MaxCheckTime is the time after which a check without a response tells that a service is lost, although endpoints of
+	// MaxCheckTime is the time after which a check without a response means that the service is lost, although endpoints of
 	// other services respond.
 	MaxCheckTime = 1200 * time.Millisecond
 	// SilenceInterval is the time between two judgements of a silent check.
 	SilenceInterval = 50 * time.Millisecond
 )
 
-// SilenceVerdict is what the silence of the endpoints that a check asks tells.
+// SilenceVerdict is the conclusion from the silence of the endpoints that a check asks.
 type SilenceVerdict int
 
 // The values of SilenceVerdict.
@@ -46,7 +46,7 @@
 	}
 }
 
-// CheckAbandoned records the end of a check that has told nothing; the service is checked again soon.
+// CheckAbandoned records the end of an inconclusive check; the service is checked again after CheckInterval.
 func (t *Tracker) CheckAbandoned(now time.Time) {
 	t.checking = false
 	t.nextCheck = now.Add(CheckInterval)
--- a/internal/node/mtgateway/quarantine_store.go
+++ b/internal/node/mtgateway/quarantine_store.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// readQuarantine reads the record and tells the other instances.
+// readQuarantine reads the record and notifies the other instances.
 func (g *Gateway) readQuarantine(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, quarantineStoreTimeout)
 	defer cancel()
--- a/internal/node/mtgateway/reach.go
+++ b/internal/node/mtgateway/reach.go
@@ -163,7 +163,7 @@
 	return g.trackerOf(service).JudgeSilence(began, g.endpointRespondedAt, now)
 }
 
-// abandonCheck records the end of a check that has told nothing.
+// abandonCheck records the end of an inconclusive check.
 func (g *Gateway) abandonCheck(service string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/node/mtgateway/relay.go
+++ b/internal/node/mtgateway/relay.go
@@ -32,12 +32,12 @@
 	maxRelayedObjective = time.Hour
 )
 
-// relayOrigin is what the instance that passed a request on tells of it.
+// relayOrigin is what the instance that passed a request on states about it.
 type relayOrigin struct {
 	// isCounted is set if the retry budget of that instance has counted the request.
 	isCounted bool
 	// objectiveLeft is the time that is left of the latency objective, if hasObjective is set; an instance of an older
-	// build does not tell it.
+	// build does not state it.
 	objectiveLeft time.Duration
 	hasObjective  bool
 }
