--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,11 +14,11 @@
 
 // cases are the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"memory":     memoryCase,
-	"pipeline":   pipelineCase,
-	"stream":     streamCase,
-	"interim":    interimCase,
-	"gone":       goneCase,
+	"memory":   memoryCase,
+	"pipeline": pipelineCase,
+	"stream":   streamCase,
+	"interim":  interimCase,
+	"gone":     goneCase,
 }
 
 func main() {
