review: cases 1 and 2, uploads that end the process and answers cut by a planned stop (LOST)

Cause of case 1: bodies are read whole before admission, without a bound over all connections; memory_mb is not read. Cause of case 2: a socket is closed 300 ms after the last answer was written to its buffer, whether the client has it or not.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,8 +16,8 @@
 var cases = map[string]func(w *world) (broken bool, err error){
 	"memory":   memoryCase,
 	"pipeline": pipelineCase,
-	"stream":   streamCase,
 	"interim":  interimCase,
+	"linger":   lingerCase,
 	"gone":     goneCase,
 }
 
