--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 	"pipeline": pipelineCase,
 	"interim":  interimCase,
 	"linger":   lingerCase,
-	"stream":   streamCase,
+	"refused":  refusedCase,
 }
 
 func main() {
