--- a/review/standin/case_interim.go
+++ b/review/standin/case_interim.go
@@ -35,12 +35,12 @@
 		err := w.startTarget(&target{
 			id: fmt.Sprint("menuboard-", n), service: "menuboard", slots: 4, queue: 4, address: w.addressOf(n),
 			run: func(t *target, call *targetCall) bool {
-				step := pageWork / pagePieces
-				if n < pageSlow && isSlow.Load() {
-					step *= pageSlowness
-				}
 				t.answerHead(call, "200 OK", "Mangotack-Response-Seal: "+seal(call.id, page)+"\r\n", len(page))
 				for piece := range pagePieces {
+					step := pageWork / pagePieces
+					if n < pageSlow && isSlow.Load() {
+						step *= pageSlowness
+					}
 					if !call.work(step) {
 						return false
 					}
@@ -61,6 +61,7 @@
 	isSlow.Store(w.trouble)
 	if w.trouble {
 		w.log("targets  %d of %d targets turn slow for %v", pageSlow, pageTargets, pageSlowTime)
+		time.AfterFunc(pageSlowTime, func() { isSlow.Store(false) })
 	}
 	end := time.Now().Add(pageSlowTime)
 	var wrong, right, others atomic.Int64
--- a/review/standin/case_refused.go
+++ b/review/standin/case_refused.go
@@ -32,7 +32,8 @@
 func refusedCase(w *world) (bool, error) {
 	w.configure(7, route{name: "r-receipt", prefix: "/receipt/", kind: "unsafe", service: "receipts", timeoutMS: 2500, goalMS: 1000})
 	scan := []byte(strings.Repeat("receipt ", receiptBytes/8))
-	var isGrey atomic.Bool
+	// greyUntil is the end of the disruption, counted from the begin of the run, or 0.
+	var greyUntil atomic.Int64
 	var ran sync.Map
 	for n := range receiptTargets {
 		err := w.startTarget(&target{
@@ -46,7 +47,8 @@
 					ms, _ := strconv.Atoi(call.request.Header.Get("Mangotack-Request-Deadline"))
 					slow := time.Duration(ms)*time.Millisecond - time.Duration(rand.Float64()*float64(scanSpread))
 					duration = slow / greySlowness
-					if isGrey.Load() {
+					// Work that would last beyond the disruption is not slow.
+					if end := call.arrived.Add(slow).Sub(w.began); int64(end) < greyUntil.Load() {
 						duration = slow
 					}
 				}
@@ -116,9 +118,11 @@
 	}
 	time.Sleep(2 * time.Second)
 	for range greyRounds {
-		isGrey.Store(w.trouble)
+		if w.trouble {
+			w.log("targets  turn grey for %v", greyTime)
+			greyUntil.Store(int64(time.Since(w.began) + greyTime))
+		}
 		time.Sleep(greyTime)
-		isGrey.Store(false)
 		time.Sleep(greyPause)
 	}
 	close(done)
