--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 func main() {
 	cases := map[string]func(w *world, hasTrouble bool) int{
 		"answers": playAnswers,
+		"behind":  playBehind,
 		"drain":   playDrain,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
