--- a/review/standin-2/case_answers.go
+++ b/review/standin-2/case_answers.go
@@ -57,6 +57,7 @@
 	for n := range 105 {
 		if _, err := w.addTarget(fmt.Sprintf("i-topup-%d", n), "topup", "za", 6, func(t *target, conn net.Conn, r *http.Request, _ []byte) bool {
 			topUps.Add(1)
+			w.note("target %s runs %s", t.id, r.Header.Get("Mangotack-Attempt-Id"))
 			ran.Store(r.Header.Get("Mangotack-Attempt-Id"), t.id)
 			time.Sleep(topUpWork)
 			return t.answer(conn, r, []byte("done"))
@@ -69,6 +70,7 @@
 		if _, err := w.addTarget(fmt.Sprintf("i-ledger-%d", n), "ledgerhouse", "za", 6, func(t *target, conn net.Conn, r *http.Request, _ []byte) bool {
 			time.Sleep(downloadWork)
 			downloads.Add(1)
+			w.note("target %s runs %s and answers", t.id, r.Header.Get("Mangotack-Attempt-Id"))
 			return t.answer(conn, r, body)
 		}); err != nil {
 			w.say("target: %v", err)
@@ -80,7 +82,7 @@
 "virtual_hosts":[{"host":"a.example","paths":[
 {"name":"r-top-up","path_prefix":"/topup/","kind":"unsafe","timeout_ms":5000,"latency_goal_ms":2000,"priority":1,"service":"topup","attempts":2},
 {"name":"r-ledger","path_prefix":"/ledger/","kind":"download","latency_goal_ms":2000,"priority":2,"service":"ledgerhouse","attempts":2}]}]}`)
-	g, err := w.addGateway("za", settings{memoryMB: answersMemory, maxFDs: 4100, graceS: 6, seeds: []string{w.base + "1:18649"}})
+	g, err := w.addGateway("za", settings{memoryMB: answersMemory, maxFDs: 4100, graceS: 6})
 	if err != nil || !w.awaitReady(20*time.Second) {
 		w.say("the gateway is not ready: %v", err)
 		return cannotRun
@@ -140,7 +142,7 @@
 // playAnswersClient sends a first download, and on the kept connection a top-up and, before that is answered, further downloads. It
 // reads all answers and reports whether the top-up was answered.
 func playAnswersClient(w *world, g *gateway, n int, body []byte, count *answersCount) (isAnswered bool) {
-	conn, err := net.Dial("tcp", g.ip+":18641")
+	conn, err := net.Dial("tcp", g.front())
 	if err != nil {
 		count.broken.Add(1)
 		return false
@@ -163,7 +165,7 @@
 			fmt.Fprintf(conn, "GET /ledger/%d-%d HTTP/1.1\r\nHost: a.example\r\nMangotack-Attempt-Id: d%d-%d\r\nMangotack-Request-Deadline: 8000\r\n\r\n", n, i, n, i)
 		}
 	}()
-	w.note("client %d sends 1 top-up and %d downloads", n, followers)
+	w.note("client %d sends top-up t%d, and behind it %d downloads, one each %v", n, n, followers, downloadInterval)
 	for i := range followers + 1 {
 		_ = conn.SetReadDeadline(time.Now().Add(12 * time.Second))
 		response, err := http.ReadResponse(reader, nil)
@@ -182,9 +184,13 @@
 			count.wrong.Add(1)
 		}
 		count.add(fmt.Sprint(response.StatusCode))
+		if i == 0 {
+			w.note("top-up t%d is answered %d", n, response.StatusCode)
+		}
 		if response.Close {
 			return true
 		}
 	}
+	w.note("client %d has all its answers", n)
 	return true
 }
--- a/review/standin-2/case_drain.go
+++ b/review/standin-2/case_drain.go
@@ -94,7 +94,7 @@
 			})
 		},
 	}
-	conn, err := dialer.Dial("tcp", g.ip+":18641")
+	conn, err := dialer.Dial("tcp", g.front())
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -2,12 +2,15 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +25,7 @@
 	storeAt   string
 	gateways  []*gateway
 	base      string
+	firstPort int
 	recordMu  sync.Mutex
 	record    *os.File
 	started   time.Time
@@ -33,7 +37,6 @@
 	maxFDs   int
 	graceS   int
 	bounds   []string
-	seeds    []string
 }
 
 // gateway is one process of the program.
@@ -42,7 +45,6 @@
 	name    string
 	ip      string
 	zone    string
-	port    int
 	path    string
 	command *exec.Cmd
 	exited  chan struct{}
@@ -71,6 +73,9 @@
 		// Two runs at the same time use different loopback addresses.
 		base: fmt.Sprintf("127.%d.%d.", 160+os.Getpid()%60, os.Getpid()/60%250),
 	}
+	if w.firstPort, err = w.findPorts(); err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", w.base+"250:0")
 	if err != nil {
 		return nil, err
@@ -100,13 +105,60 @@
 	w.store.put("keyed.op", "config", []byte(configuration))
 }
 
-func freePort(ip string) int {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0
+// The ports of a machine, as offsets from the first one; they are the same on all machines. The internal ports are the last ones.
+const (
+	frontPort = iota
+	readyPort
+	directoryPort
+	controlPort
+	internalPort
+)
+
+const (
+	internalPorts = 16
+	maxGateways   = 3
+	// firstPorts are the ports between which a free block is looked for, below those that the system gives to connections.
+	firstPortFrom, firstPortTo = 10_000, 30_000
+)
+
+// findPorts returns the first port of a block that is free at the addresses of all machines.
+func (w *world) findPorts() (int, error) {
+	for range 200 {
+		first := firstPortFrom + rand.IntN(firstPortTo-firstPortFrom)
+		if w.isBlockFree(first) {
+			return first, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	return 0, errors.New("no free block of ports")
+}
+
+func (w *world) isBlockFree(first int) bool {
+	for number := range maxGateways {
+		for offset := range internalPort + internalPorts {
+			address := net.JoinHostPort(fmt.Sprintf("%s%d", w.base, number+1), strconv.Itoa(first+offset))
+			listener, err := net.Listen("tcp", address)
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
+			socket, err := net.ListenPacket("udp", address)
+			if err != nil {
+				return false
+			}
+			_ = socket.Close()
+		}
+	}
+	return true
+}
+
+// at returns an address of the gateway.
+func (g *gateway) at(port int) string {
+	return net.JoinHostPort(g.ip, strconv.Itoa(g.world.firstPort+port))
+}
+
+// front returns the address for clients.
+func (g *gateway) front() string {
+	return g.at(frontPort)
 }
 
 // addGateway writes the settings of a gateway and starts it.
@@ -117,12 +169,11 @@
 		name:  fmt.Sprintf("front-%s-%d", zone, number),
 		ip:    fmt.Sprintf("%s%d", w.base, number),
 		zone:  zone,
-		port:  18641,
 	}
 	g.path = filepath.Join(w.directory, g.name+".yaml")
-	seeds := s.seeds
-	if len(seeds) == 0 {
-		seeds = []string{w.base + "1:18649", w.base + "2:18649", w.base + "3:18649"}
+	var seeds []string
+	for seed := range maxGateways {
+		seeds = append(seeds, fmt.Sprintf("%s%d:%d", w.base, seed+1, w.firstPort+controlPort))
 	}
 	lines := []string{
 		fmt.Sprintf("node_name: %q", g.name), `role: "entry"`, `machine_class: "front"`,
@@ -130,9 +181,10 @@
 		fmt.Sprintf("ip: %q", g.ip), fmt.Sprintf("zone: %q", zone), `region: "r"`,
 		"zones:", `  za: "r"`, `  zb: "r"`, `  zc: "r"`,
 		"listen:",
-		fmt.Sprintf(`  front: "%s:18641"`, g.ip), fmt.Sprintf(`  ready: "%s:18640"`, g.ip),
-		fmt.Sprintf(`  control: "%s:18649"`, g.ip), fmt.Sprintf(`  directory: "%s:18644"`, g.ip),
-		"internal_port_range:", "  - 17620", "  - 17635",
+		fmt.Sprintf("  front: %q", g.at(frontPort)), fmt.Sprintf("  ready: %q", g.at(readyPort)),
+		fmt.Sprintf("  control: %q", g.at(controlPort)), fmt.Sprintf("  directory: %q", g.at(directoryPort)),
+		"internal_port_range:", fmt.Sprintf("  - %d", w.firstPort+internalPort),
+		fmt.Sprintf("  - %d", w.firstPort+internalPort+internalPorts-1),
 		"seeds:",
 	}
 	for _, seed := range seeds {
@@ -201,7 +253,7 @@
 // isReady asks the ready address.
 func (g *gateway) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + g.ip + ":18640/v1/ready")
+	response, err := client.Get("http://" + g.at(readyPort) + "/v1/ready")
 	if err != nil {
 		return false
 	}
