Review case 8: the dose within one entry, counted and not drawn

Cause: targets broke off 1 in 20 answers, drawn at random, which joins the largest figures of different entries and can be exceeded by chance.

--- a/review/standin-2/case_behind.go
+++ b/review/standin-2/case_behind.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,9 +19,10 @@
 	behindRounds  = 60 * time.Second
 	// behindBytes is the size of a download; pages are the requests behind it.
 	behindBytes = 6 << 20
-	behindPages = 3
+	behindPages = 5
+	// garbleShare of the targets of downloads break off every garbleEach-th of their answers.
 	garbleShare = 0.4
-	garbleRatio = 0.05
+	garbleEach  = 50
 	garbleFor   = 5 * time.Second
 	garblePause = time.Second
 	// lostTolerance is the number of requests that the rule allows to be lost.
@@ -37,9 +37,11 @@
 	var brokenOff atomic.Int64
 	const downloadTargets = 5
 	for n := range downloadTargets {
+		// inGarble counts the answers of this target while it garbles.
+		var inGarble atomic.Int64
 		if _, err := w.addTarget(fmt.Sprintf("i-ledger-%d", n), "ledgerhouse", "za", 6, func(t *target, conn net.Conn, r *http.Request, _ []byte) bool {
 			time.Sleep(50 * time.Millisecond)
-			if n < garbleShare*downloadTargets && isGarbling.Load() && rand.Float64() < garbleRatio {
+			if n < garbleShare*downloadTargets && isGarbling.Load() && inGarble.Add(1)%garbleEach == 0 {
 				brokenOff.Add(1)
 				id := r.Header.Get("Mangotack-Attempt-Id")
 				w.note("target %s breaks off its answer to %s", t.id, id)
@@ -49,6 +51,7 @@
 				_, _ = buffers.WriteTo(conn)
 				return false
 			}
+			w.note("target %s runs %s and answers", t.id, r.Header.Get("Mangotack-Attempt-Id"))
 			return t.answer(conn, r, body)
 		}); err != nil {
 			w.say("target: %v", err)
@@ -56,6 +59,7 @@
 		}
 		if _, err := w.addTarget(fmt.Sprintf("i-float-%d", n), "floatdesk", "za", 6, func(t *target, conn net.Conn, r *http.Request, _ []byte) bool {
 			time.Sleep(20 * time.Millisecond)
+			w.note("target %s runs %s", t.id, r.Header.Get("Mangotack-Attempt-Id"))
 			ran.Store(r.Header.Get("Mangotack-Attempt-Id"), t.id)
 			return t.answer(conn, r, []byte("balance"))
 		}); err != nil {
@@ -68,7 +72,7 @@
 "virtual_hosts":[{"host":"a.example","paths":[
 {"name":"r-ledger","path_prefix":"/ledger/","kind":"download","latency_goal_ms":2000,"priority":2,"service":"ledgerhouse","attempts":2},
 {"name":"r-float","path_prefix":"/float/","kind":"safe","timeout_ms":4000,"latency_goal_ms":1500,"priority":2,"service":"floatdesk","attempts":2}]}]}`)
-	if _, err := w.addGateway("za", settings{memoryMB: 284, maxFDs: 4100, graceS: 6, seeds: []string{w.base + "1:18649"}}); err != nil || !w.awaitReady(20*time.Second) {
+	if _, err := w.addGateway("za", settings{memoryMB: 284, maxFDs: 4100, graceS: 6}); err != nil || !w.awaitReady(20*time.Second) {
 		w.say("the gateway is not ready: %v", err)
 		return cannotRun
 	}
@@ -118,7 +122,7 @@
 // pageBehindDownload sends a first request on a new connection, and when that is answered a download with requests behind it. It
 // returns the ids of the requests behind that got no answer.
 func pageBehindDownload(w *world, g *gateway, name string) (unanswered []string) {
-	conn, err := net.Dial("tcp", g.ip+":18641")
+	conn, err := net.Dial("tcp", g.front())
 	if err != nil {
 		return nil
 	}
@@ -154,5 +158,6 @@
 			return unanswered[max(0, n-1):]
 		}
 	}
+	w.note("download-%s and all requests behind it are answered", name)
 	return nil
 }
